--- /dev/null
+++ b/scripts/createTrial.ts
@@ -0,0 +1,224 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { createHash } from 'node:crypto';
+import { request } from 'undici';
+
+const PLATFORM = '127.0.10.1:2379';
+const CLUSTER_KEY = 'trial-cluster-key-0001';
+const OPERATOR_TOKEN = 'trial-operator-token-1';
+const CALLER_KEY = 'trial-caller-key';
+const ENGINE_COUNT = 3;
+const START_TIMEOUT_MS = 20_000;
+const POLL_MS = 100;
+
+/**
+ * Lays out a trial: stand-ins and entry VMs as separate processes on loopback addresses, which are
+ * ended by the ids of their processes.
+ */
+export default function createTrial(options: { binary: string[]; vms: number; quiet?: boolean }) {
+  const children = new Map<string, ChildProcess>();
+  const logs = new Map<string, string[]>();
+
+  function spawnChild(name: string, command: string[], environment: Record<string, string> = {}) {
+    const [program, ...words] = command;
+    const child = spawn(program, words, {
+      env: { ...process.env, ...environment },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const lines: string[] = [];
+    logs.set(name, lines);
+    child.stdout.on('data', (chunk: Buffer) => lines.push(chunk.toString()));
+    child.stderr.on('data', (chunk: Buffer) => lines.push(chunk.toString()));
+    children.set(name, child);
+    return child;
+  }
+
+  function spawnStandin(name: string, file: string, words: string[]): void {
+    spawnChild(name, ['node', `dist/standins/${file}.cjs`, ...words]);
+  }
+
+  function getVmHost(index: number): string {
+    return `127.0.20.${index}`;
+  }
+
+  function startVm(index: number, environment: Record<string, string> = {}): ChildProcess {
+    return spawnChild(`vm${index}`, [...options.binary, 'serve'], {
+      BAOBABLINK_LISTEN_HOST: getVmHost(index),
+      BAOBABLINK_DATA_CENTRE: `dc${1 + ((index - 1) % 3)}`,
+      BAOBABLINK_PLATFORM_URL: `http://${PLATFORM}`,
+      BAOBABLINK_VM_LIST_URL: `http://${PLATFORM}/vms`,
+      BAOBABLINK_CLUSTER_KEY: CLUSTER_KEY,
+      BAOBABLINK_OPERATOR_TOKEN: OPERATOR_TOKEN,
+      BAOBABLINK_HANDED_OUT_MS: '1500',
+      ...environment,
+    });
+  }
+
+  async function start(): Promise<void> {
+    const entries = Array.from({ length: options.vms }, (_, index) => ({
+      address: `${getVmHost(index + 1)}:7080`,
+      role: 'entry',
+      state: 'live',
+    }));
+    spawnStandin('platform', 'keyValue', ['--listen', PLATFORM, '--vms', JSON.stringify(entries)]);
+    for (let index = 1; index <= ENGINE_COUNT; index += 1) {
+      const checks = String(index === 1);
+      const words = ['--listen', getEngineAddress(index), '--checks-fencing', checks];
+      spawnStandin(`engine${index}`, 'engine', words);
+    }
+    spawnStandin('service', 'service', ['--listen', '127.0.10.30:9100']);
+    await waitFor(async () => (await call('GET', `http://${PLATFORM}/vms`)).status === 200);
+    entries.forEach((_, index) => startVm(index + 1));
+    await waitFor(async () => {
+      const ready = await Promise.all(
+        entries.map((_, index) => call('GET', `${getVmUrl(index + 1)}/readyz`)),
+      );
+      return ready.every(({ status }) => status === 200);
+    });
+  }
+
+  function getEngineAddress(index: number): string {
+    return `127.0.10.${10 + index}:9001`;
+  }
+
+  function getVmUrl(index: number): string {
+    return `http://${getVmHost(index)}:8080`;
+  }
+
+  async function call(
+    method: string,
+    url: string,
+    body?: unknown,
+    headers: Record<string, string> = {},
+  ): Promise<{ status: number; text: string }> {
+    try {
+      const response = await request(url, {
+        method: method as 'GET',
+        headers: { 'content-type': 'application/json', ...headers },
+        body: body === undefined ? undefined : JSON.stringify(body),
+      });
+      return { status: response.statusCode, text: await response.body.text() };
+    } catch (error) {
+      return { status: 0, text: (error as Error).message };
+    }
+  }
+
+  function callAsOperator(method: string, url: string, body?: unknown, headers = {}) {
+    return call(method, url, body, { authorization: `Bearer ${OPERATOR_TOKEN}`, ...headers });
+  }
+
+  function callAsCaller(method: string, url: string, body?: unknown, headers = {}) {
+    return call(method, url, body, { authorization: `Bearer ${CALLER_KEY}`, ...headers });
+  }
+
+  /** Writes a team, the upstreams and adapters into the table. */
+  async function fillTable(adapters: number): Promise<void> {
+    const url = `${getVmUrl(1)}/v1/table`;
+    const key = createHash('sha256').update(CALLER_KEY).digest('hex');
+    await callAsOperator('PUT', `${url}/teams/atelier`, { keys: [key] });
+    for (let index = 1; index <= ENGINE_COUNT; index += 1) {
+      await callAsOperator('PUT', `${url}/upstreams/engine${index}`, {
+        kind: 'engine',
+        address: getEngineAddress(index),
+        dataCentre: `dc${index}`,
+        baseModel: 'base',
+        slots: 8,
+        batchSize: 16,
+        checksFencing: index === 1,
+      });
+    }
+    await callAsOperator('PUT', `${url}/upstreams/desk1`, {
+      kind: 'service',
+      address: '127.0.10.30:9100',
+      dataCentre: 'dc1',
+      service: 'desk',
+    });
+    const rows = Array.from({ length: adapters }, (_, index) => ({
+      name: `lace-${index + 1}`,
+      value: {
+        team: 'atelier',
+        baseModel: 'base',
+        versions: [{ name: 'v1' }, { name: 'v2', weight: 0 }],
+        currentVersion: 'v1',
+      },
+    }));
+    await callAsOperator('PATCH', `${url}/adapters`, { rows });
+  }
+
+  /** Sends one streamed chat request; answers its status, the models named and the text. */
+  async function chat(url: string, model: string, tokens = 8, headers = {}) {
+    const body = { model, stream: true, max_tokens: tokens, messages: [] };
+    const answer = await callAsCaller('POST', `${url}/v1/chat/completions`, body, headers);
+    const chunks = answer.text
+      .split('\n\n')
+      .filter((line) => line.startsWith('data: {'))
+      .map((line) => JSON.parse(line.slice('data: '.length)) as Chunk);
+    return {
+      status: answer.status,
+      raw: answer.text,
+      models: [...new Set(chunks.map((chunk) => chunk.model))],
+      text: chunks.map((chunk) => chunk.choices?.[0].delta.content ?? '').join(''),
+      finished: chunks.some((chunk) => chunk.choices?.[0].finish_reason),
+    };
+  }
+
+  async function stopChild(name: string, signal: NodeJS.Signals): Promise<number | null> {
+    const child = children.get(name)!;
+    children.delete(name);
+    if (child.exitCode !== null) {
+      return child.exitCode;
+    }
+    return new Promise((resolve) => {
+      child.once('exit', (code) => resolve(code));
+      child.kill(signal);
+    });
+  }
+
+  /** Stops the VMs gracefully and then the stand-ins; answers the exit codes that are not 0. */
+  async function stop(): Promise<string[]> {
+    const names = [...children.keys()];
+    const vms = names.filter((name) => name.startsWith('vm'));
+    const codes = await Promise.all(vms.map((name) => stopChild(name, 'SIGTERM')));
+    const wrong = vms.filter((_, index) => codes[index] !== 0);
+    await Promise.all(
+      names.filter((name) => !vms.includes(name)).map((name) => stopChild(name, 'SIGTERM')),
+    );
+    return wrong;
+  }
+
+  return {
+    start,
+    startVm,
+    stop,
+    stopChild,
+    fillTable,
+    chat,
+    call,
+    callAsCaller,
+    callAsOperator,
+    getVmUrl,
+    getEngineAddress,
+    platform: PLATFORM,
+    getLog: (name: string) => (logs.get(name) ?? []).join(''),
+    getChild: (name: string) => children.get(name),
+    operatorToken: OPERATOR_TOKEN,
+    callerKey: CALLER_KEY,
+  };
+}
+
+interface Chunk {
+  model: string;
+  choices?: { delta: { content?: string }; finish_reason: string | null }[];
+}
+
+async function waitFor(isMet: () => Promise<boolean>): Promise<void> {
+  const startedAt = Date.now();
+  while (!(await isMet())) {
+    if (Date.now() - startedAt > START_TIMEOUT_MS) {
+      throw new Error('the trial did not start in time');
+    }
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+  }
+}
--- /dev/null
+++ b/src/cli/run.ts
@@ -0,0 +1,115 @@
+import meow from 'meow';
+import type { z } from 'zod';
+import { match } from 'ts-pattern';
+import Settings from '../settings/Settings';
+import getShownSettings from '../settings/getShownSettings';
+import readSettings from '../settings/readSettings';
+import createClient from './createClient';
+import type Output from './Output';
+import runStatus from './runStatus';
+import runTable from './runTable';
+import runWhere from './runWhere';
+import serve from './serve';
+
+const VERSION = '0.1.0';
+
+const HELP = `
+  Usage
+    baobablink serve [settings]            run the entry daemon
+    baobablink check [settings]            validate the settings and show them
+    baobablink where ADAPTER               entry VMs to use for an adapter
+    baobablink status                      members, owners, residency
+    baobablink table list [--prefix P]     rows of a sheet
+    baobablink table get NAME              one row
+    baobablink table set NAME FIELD=VALUE… change fields, or --row JSON to set it whole
+    baobablink table delete NAME           delete a row
+    baobablink table import FILE           rows from a .csv or .json file
+    baobablink table export [--format csv] rows to CSV or JSON
+    baobablink table history NAME          earlier states of a row
+    baobablink table inforce [REVISION]    which VMs have applied a revision
+
+  Options of where, status and table
+    --url URLS         entry VMs, comma-separated (BAOBABLINK_URL)
+    --token SECRET     operator's token or caller's key (BAOBABLINK_TOKEN)
+    --kind KIND        adapters (default), upstreams or teams
+    --if-revision N    edit only if the row still has this revision
+    --json             output for scripts
+
+  Settings of serve and check
+${Object.entries(Settings.shape)
+  .map(([name, schema]) => `    ${toFlag(name).padEnd(28)} ${(schema as z.ZodType).description}`)
+  .join('\n')}
+
+  Each flag can be given as a variable: --mesh-port is BAOBABLINK_MESH_PORT.
+  Exit codes: 0 done, 1 refused or failed, 2 wrong usage.
+`;
+
+/** Runs the command line; answers the exit code. */
+export default async function run(
+  words: string[],
+  environment: Record<string, string | undefined>,
+): Promise<number> {
+  const settingFlags = Object.fromEntries(
+    Object.keys(Settings.shape).map((name) => [name, { type: 'string' as const }]),
+  );
+  const cli = meow(HELP, {
+    importMeta: { url: import.meta.url } as ImportMeta,
+    argv: words,
+    pkg: { name: 'baobablink', version: VERSION },
+    version: VERSION,
+    description: 'baobablink: serving layer for very many LoRA adapters',
+    allowUnknownFlags: false,
+    flags: {
+      ...settingFlags,
+      url: { type: 'string', default: environment.BAOBABLINK_URL ?? 'http://127.0.0.1:8080' },
+      token: { type: 'string' },
+      kind: { type: 'string', default: 'adapters' },
+      prefix: { type: 'string', default: '' },
+      format: { type: 'string', default: 'json' },
+      row: { type: 'string' },
+      ifRevision: { type: 'number' },
+      json: { type: 'boolean', default: false },
+    },
+  });
+  const flags = cli.flags as Record<string, unknown> & { json: boolean; url: string };
+  const output: Output = {
+    json: flags.json,
+    print: (text) => process.stdout.write(`${text}\n`),
+    fail: (text) => process.stderr.write(`baobablink: ${text}\n`),
+  };
+  const client = createClient(
+    flags.url.split(','),
+    (flags.token as string | undefined) ?? environment.BAOBABLINK_TOKEN,
+  );
+  const [command, ...rest] = cli.input;
+  return match(command)
+    .with('serve', () => withSettings(serve))
+    .with('check', () =>
+      withSettings(async (settings) => {
+        output.print(JSON.stringify(getShownSettings(settings), undefined, 2));
+        return 0;
+      }),
+    )
+    .with('where', () => (rest.length === 1 ? runWhere(rest[0], client, output) : refuseUsage()))
+    .with('status', () => runStatus(client, output))
+    .with('table', () => runTable(rest, flags as never, client, output))
+    .otherwise(refuseUsage);
+
+  async function withSettings(action: (settings: Settings) => Promise<number>): Promise<number> {
+    const settings = readSettings(flags, environment);
+    if (!settings.ok) {
+      settings.error.forEach((fault) => output.fail(fault));
+      return 2;
+    }
+    return action(settings.value);
+  }
+
+  async function refuseUsage(): Promise<number> {
+    output.fail(`unknown or incomplete command: ${words.join(' ') || '(none)'}; see --help`);
+    return 2;
+  }
+}
+
+function toFlag(name: string): string {
+  return `--${name.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)}`;
+}
--- /dev/null
+++ b/src/cli/serve.ts
@@ -0,0 +1,117 @@
+import { randomUUID } from 'node:crypto';
+import { readFileSync } from 'node:fs';
+import { createServer as createHttpServer } from 'node:http';
+import { createServer as createHttpsServer } from 'node:https';
+import { getRequestListener } from '@hono/node-server';
+import createEntry from '../entry/createEntry';
+import createLog from '../events/createLog';
+import createMesh from '../mesh/createMesh';
+import createEtcdKeyValue from '../platform/createEtcdKeyValue';
+import createVirtualMachineList from '../platform/createVirtualMachineList';
+import type Settings from '../settings/Settings';
+import createHttpEngines from '../upstream/createHttpEngines';
+import createHttpServices from '../upstream/createHttpServices';
+
+const PLATFORM_TIMEOUT_MS = 1500;
+const HEADERS_TIMEOUT_MS = 10_000;
+
+/** Runs the entry daemon until SIGTERM or SIGINT has stopped it gracefully. */
+export default async function serve(settings: Settings): Promise<number> {
+  const address = `${settings.listenHost}:${settings.meshPort}`;
+  const callerAddress = `${settings.listenHost}:${settings.port}`;
+  const write = (line: string) => process.stdout.write(line);
+  const log = createLog(settings.logLevel, { vm: address }, write);
+  process.on('uncaughtException', (error) => log('unexpected', { error: error.stack }));
+  process.on('unhandledRejection', (error) => log('unexpected', { error: String(error) }));
+
+  const mesh = createMesh(
+    {
+      onMessage: (from, message) => entry.receive(from, message),
+      onLinkEnd: (peer, reason) => {
+        entry.metrics.linkEnds.inc({ reason });
+        log('linkEnded', { peer, reason });
+      },
+    },
+    {
+      address,
+      clusterKey: settings.clusterKey,
+      listenHost: settings.listenHost,
+      listenPort: settings.meshPort,
+    },
+  );
+  const entry = createEntry(
+    {
+      now: () => performance.now(),
+      setTimer: (delayMs, callback) => {
+        const timer = setTimeout(callback, delayMs);
+        return () => clearTimeout(timer);
+      },
+      keyValue: createEtcdKeyValue({
+        url: settings.platformUrl,
+        callTimeoutMs: PLATFORM_TIMEOUT_MS,
+        countCall: (call) => entry.metrics.keyValueCalls.inc({ call }),
+      }),
+      tryGetList: createVirtualMachineList(settings.vmListUrl, PLATFORM_TIMEOUT_MS),
+      engines: createHttpEngines(),
+      services: createHttpServices(),
+      send: mesh.send,
+      redial: mesh.redial,
+      setPeers: mesh.setPeers,
+      random: Math.random,
+      getNonce: randomUUID,
+      log,
+    },
+    {
+      ...settings,
+      address,
+      callerAddress,
+      rootToken: settings.operatorToken,
+      pool: settings,
+      deadlinesMs: {
+        interactive: settings.interactiveDeadlineMs,
+        deferrable: settings.deferrableDeadlineMs,
+      },
+    },
+  );
+
+  const listener = getRequestListener((request) => entry.fetch(request));
+  const server =
+    settings.tlsCert !== undefined && settings.tlsKey !== undefined
+      ? createHttpsServer(
+          { cert: readFileSync(settings.tlsCert), key: readFileSync(settings.tlsKey) },
+          listener,
+        )
+      : createHttpServer(listener);
+  server.headersTimeout = HEADERS_TIMEOUT_MS;
+  await mesh.listen();
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(settings.port, settings.listenHost, () => resolve());
+  });
+  entry.start();
+  log('started', { callers: callerAddress, dataCentre: settings.dataCentre });
+
+  return new Promise((resolve) => {
+    let isStopping = false;
+    const stop = async () => {
+      if (isStopping) {
+        log('stopCut', { requests: entry.getInFlight(), cause: 'second signal' });
+        resolve(1);
+        return;
+      }
+      isStopping = true;
+      log('stopRequested', { requests: entry.getInFlight() });
+      const cut = await entry.stop();
+      if (cut > 0) {
+        log('stopCut', { requests: cut, cause: 'stop deadline' });
+      }
+      log('stopped');
+      mesh.close();
+      server.close();
+      server.closeIdleConnections();
+      resolve(cut > 0 ? 1 : 0);
+    };
+    process.on('SIGTERM', stop);
+    process.on('SIGINT', stop);
+  });
+}
--- /dev/null
+++ b/src/entry/EntryHost.ts
@@ -0,0 +1,25 @@
+import type Log from '../events/Log';
+import type Message from '../mesh/Message';
+import type KeyValue from '../platform/KeyValue';
+import type VirtualMachine from '../platform/VirtualMachine';
+import type Time from '../shared/Time';
+import type Engines from '../upstream/Engines';
+import type Services from '../upstream/Services';
+
+/** Everything outside an entry VM: platform, upstreams, links, time and chance. */
+interface EntryHost extends Time {
+  keyValue: KeyValue;
+  tryGetList(): Promise<VirtualMachine[] | undefined>;
+  engines: Engines;
+  services: Services;
+  send(to: string, message: Message): boolean;
+  redial(to: string): void;
+  setPeers(addresses: string[]): void;
+  /** A number from 0 to 1. */
+  random(): number;
+  /** A text that no other call, here or elsewhere, ever gets. */
+  getNonce(): string;
+  log: Log;
+}
+
+export default EntryHost;
--- /dev/null
+++ b/src/entry/createEntry.ts
@@ -0,0 +1,156 @@
+import { match } from 'ts-pattern';
+import createCalls from '../calls/createCalls';
+import createCompletions from '../completions/createCompletions';
+import createPlaces from '../completions/createPlaces';
+import createApp from '../http/createApp';
+import createMembers from '../members/createMembers';
+import type Message from '../mesh/Message';
+import createMetrics from '../metrics/createMetrics';
+import createOwners from '../owners/createOwners';
+import createResidency from '../owners/createResidency';
+import createTable from '../table/createTable';
+import createTableController from '../table/createTableController';
+import type EntryHost from './EntryHost';
+import type EntryOptions from './EntryOptions';
+
+const DRAIN_CHECK_MS = 100;
+
+/** Composes the controllers and the filter chain of one entry VM. All I/O goes through the host. */
+export default function createEntry(host: EntryHost, options: EntryOptions) {
+  const { address } = options;
+  const metrics = createMetrics();
+  const table = createTable();
+  const residency = createResidency();
+  let inFlight = 0;
+
+  const members = createMembers(
+    {
+      ...host,
+      describe: (now) => ({ ...tableController.describe(now), inFlight }),
+      onHeard: (now, member) => {
+        tableController.notice(now, member);
+        metrics.membersHeard.set(members.getServing(now).length);
+      },
+    },
+    {
+      address,
+      dataCentre: options.dataCentre,
+      callerAddress: options.callerAddress,
+      incarnation: host.getNonce(),
+      seeds: options.seeds,
+      leaseSeconds: options.leaseSeconds,
+    },
+  );
+  const tableController = createTableController(
+    {
+      ...host,
+      getLivePeers: (now) => members.getServing(now).filter((peer) => peer !== address),
+      hasMajority: members.hasMajority,
+      onApplied: (row) => {
+        metrics.tableRevision.set(table.getRevision());
+        host.log('rowApplied', { kind: row.kind, row: row.name, revision: row.revision });
+      },
+    },
+    table,
+  );
+  const owners = createOwners(
+    { ...host, deliver: (message) => receive(address, message) },
+    { members, table, residency, metrics },
+    { address, pool: options.pool },
+  );
+  const places = createPlaces(host, { members, owners, residency, table }, { address });
+  const completions = createCompletions(host, { places, metrics }, options);
+  const calls = createCalls(host, { address, keptSeconds: options.callKeptSeconds });
+
+  /** Counts a request in progress; the answer ends it, once. */
+  function enter(): () => void {
+    inFlight += 1;
+    metrics.inFlight.set(inFlight);
+    let isInside = true;
+    return () => {
+      if (isInside) {
+        isInside = false;
+        inFlight -= 1;
+        metrics.inFlight.set(inFlight);
+      }
+    };
+  }
+
+  const app = createApp(
+    { ...host, enter, getInFlight: () => inFlight },
+    { table, tableController, members, owners, residency, completions, calls, metrics },
+    options,
+  );
+
+  /** Takes a message of another entry VM, or one that this VM sends to itself. */
+  function receive(from: string, message: Message): void {
+    match(message)
+      .with({ kind: 'heartbeat' }, (heartbeat) => members.receive(from, heartbeat))
+      .with({ kind: 'rows' }, { kind: 'rowsWanted' }, (rows) => tableController.receive(from, rows))
+      .with({ kind: 'ask' }, ({ pool, ask }) => owners.receiveAsk(from, pool, ask))
+      .with({ kind: 'granted' }, { kind: 'refused' }, (reply) => places.receive(from, reply))
+      .with({ kind: 'finished' }, ({ pool, id }) => owners.finish(pool, id))
+      .with({ kind: 'holding' }, ({ pool, ids }) => owners.receiveHolding(from, pool, ids))
+      .with({ kind: 'missing' }, ({ pool, engine }) => owners.receiveMissing(pool, engine))
+      .with({ kind: 'withdraw' }, (withdrawal) => {
+        const { pool, engine, name } = withdrawal;
+        const busy = residency.withdraw(from, withdrawal);
+        host.send(from, { kind: 'withdrawn', pool, engine, name, busy });
+      })
+      .with({ kind: 'withdrawn' }, (withdrawn) => owners.receiveWithdrawn(from, withdrawn))
+      .with({ kind: 'residency' }, (announcement) => {
+        residency.announce(from, announcement);
+        owners.noticeFence(announcement.pool, announcement.fence);
+      })
+      .with({ kind: 'handover' }, () => owners.observe())
+      .with({ kind: 'callInquiry' }, { kind: 'callStatus' }, (call) => calls.receive(from, call))
+      .exhaustive();
+  }
+
+  function start(): void {
+    members.start();
+    tableController.start();
+    owners.start();
+    places.start();
+  }
+
+  /**
+   * Stops gracefully: drops out of `where`, hands its pools over, serves until the answers handed
+   * out have expired and nothing is in progress. Answers the number of requests cut off.
+   */
+  async function stop(): Promise<number> {
+    const startedAt = host.now();
+    members.leave();
+    await owners.handOver();
+    await pause(options.handedOutMs);
+    const isBusy = () => inFlight > 0 || calls.getUnsettledCount() > 0;
+    while (isBusy() && host.now() - startedAt < options.stopDeadlineMs) {
+      await pause(DRAIN_CHECK_MS);
+    }
+    owners.stop();
+    places.stop();
+    tableController.stop();
+    await members.stop();
+    return inFlight;
+  }
+
+  function pause(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      host.setTimer(delayMs, resolve);
+    });
+  }
+
+  return {
+    start,
+    stop,
+    receive,
+    fetch: (request: Request) => app.fetch(request),
+    isReady: () => tableController.isTrusted(host.now()) && !members.isLeaving(),
+    metrics,
+    getInFlight: () => inFlight,
+    owners,
+    members,
+    table,
+    tableController,
+  };
+}
--- /dev/null
+++ b/src/http/createApp.ts
@@ -0,0 +1,172 @@
+import { Hono } from 'hono';
+import type createCalls from '../calls/createCalls';
+import type createCompletions from '../completions/createCompletions';
+import type EntryHost from '../entry/EntryHost';
+import type EntryOptions from '../entry/EntryOptions';
+import type Members from '../members/Members';
+import type Metrics from '../metrics/Metrics';
+import createTableRoutes from '../operators/createTableRoutes';
+import type Owners from '../owners/Owners';
+import type Residency from '../owners/Residency';
+import createAuthenticateFilter from '../requests/createAuthenticateFilter';
+import createAuthenticator from '../requests/createAuthenticator';
+import createBodyFilter from '../requests/createBodyFilter';
+import createCompletionHandler from '../requests/createCompletionHandler';
+import createServiceHandler from '../requests/createServiceHandler';
+import createTrustFilter from '../requests/createTrustFilter';
+import createWhereHandler from '../requests/createWhereHandler';
+import type EntryContext from '../requests/EntryContext';
+import getRefusal from '../requests/getRefusal';
+import type Table from '../table/Table';
+import type TableController from '../table/TableController';
+
+const OPERATOR_BODY_FACTOR = 16;
+
+interface AppHost extends EntryHost {
+  enter(): () => void;
+  getInFlight(): number;
+}
+
+/** Assembles the filter chain: identify, authenticate, read the body, trust the table, handle. */
+export default function createApp(
+  host: AppHost,
+  parts: {
+    table: Table;
+    tableController: TableController;
+    members: Members;
+    owners: Owners;
+    residency: Residency;
+    completions: ReturnType<typeof createCompletions>;
+    calls: ReturnType<typeof createCalls>;
+    metrics: Metrics;
+  },
+  options: EntryOptions,
+): Hono<EntryContext> {
+  const { table, tableController, members, owners, residency, metrics } = parts;
+  const app = new Hono<EntryContext>();
+  const tryAuthenticate = createAuthenticator(table, options.rootToken);
+  const asCaller = createAuthenticateFilter(tryAuthenticate, ['caller']);
+  const asOperator = createAuthenticateFilter(tryAuthenticate, ['operator']);
+  const asAnyone = createAuthenticateFilter(tryAuthenticate, ['caller', 'operator']);
+  const limits = { maxBytes: options.maxBodyBytes, timeoutMs: options.bodyTimeoutMs };
+  const readBody = createBodyFilter(host, limits);
+  const readLargeBody = createBodyFilter(host, {
+    ...limits,
+    maxBytes: options.maxBodyBytes * OPERATOR_BODY_FACTOR,
+  });
+  const trust = createTrustFilter(() => tableController.isTrusted(host.now()));
+
+  app.use(async (context, next) => {
+    context.set('requestId', host.getNonce());
+    context.set('receivedAt', host.now());
+    context.set('ran', 'no');
+    await next();
+    await countRefusal(context.res, metrics);
+    context.res.headers.set('x-request-id', context.get('requestId'));
+  });
+  app.notFound(() => getRefusal('notFound'));
+  app.onError((error, context) => {
+    host.log('unexpected', { request: context.get('requestId'), error: error.stack });
+    return getRefusal('upstreamFailed', 'unknown');
+  });
+
+  app.get('/healthz', (context) => context.json({ alive: true }));
+  app.get('/readyz', (context) => {
+    const ready = tableController.isTrusted(host.now()) && !members.isLeaving();
+    return context.json({ ready }, ready ? 200 : 503);
+  });
+  app.get('/metrics', async () => {
+    const text = await metrics.registry.metrics();
+    return new Response(text, { headers: { 'content-type': metrics.registry.contentType } });
+  });
+
+  app.get(
+    '/v1/where',
+    asAnyone,
+    trust,
+    createWhereHandler(host, { members, table }, { ...options, validForMs: options.handedOutMs }),
+  );
+  (['/v1/chat/completions', '/v1/completions'] as const).forEach((path) =>
+    app.post(
+      path,
+      asCaller,
+      readBody,
+      trust,
+      createCompletionHandler(
+        host,
+        { table, completions: parts.completions, metrics },
+        { path, deadlinesMs: options.deadlinesMs },
+      ),
+    ),
+  );
+  app.all(
+    '/v1/services/:name/:rest{.*}',
+    asCaller,
+    async (context, next) => {
+      context.set('ran', context.req.header('idempotency-key') === undefined ? 'no' : 'unknown');
+      return next();
+    },
+    readBody,
+    trust,
+    createServiceHandler(
+      {
+        ...host,
+        isLeaving: (address) => members.getUpstreamStates().get(address) === 'leaving',
+        getShare: () => 1 / Math.max(1, members.getServing(host.now()).length),
+      },
+      { table, calls: parts.calls, metrics },
+      { dataCentre: options.dataCentre, timeoutMs: options.serviceTimeoutMs },
+    ),
+  );
+
+  app.use('/v1/table/*', asOperator, readLargeBody);
+  app.get('/v1/table/inforce', (context) => {
+    const revision = Number(context.req.query('revision') ?? table.getRevision());
+    if (!Number.isInteger(revision) || revision < 0) {
+      return getRefusal('badRequest', 'no', 0, 'revision: expected a whole number');
+    }
+    const vms = getRevisions().map((vm) => ({ ...vm, applied: vm.tableRevision >= revision }));
+    return context.json({ revision, everywhere: vms.every((vm) => vm.applied), vms });
+  });
+  app.route('/v1/table', createTableRoutes({ table, controller: tableController, log: host.log }));
+  app.get('/v1/status', asOperator, (context) => {
+    const now = host.now();
+    return context.json({
+      address: options.address,
+      members: members.getMembers().map((member) => ({
+        address: member.address,
+        state: member.state,
+        dataCentre: member.dataCentre,
+        heard: members.isHeard(now, member.address),
+        tableRevision: member.tableRevision,
+        inFlight: member.inFlight,
+      })),
+      tableRevision: table.getRevision(),
+      trusted: tableController.isTrusted(now),
+      inFlight: host.getInFlight(),
+      pools: residency.getPools(),
+      owned: owners.getOwned(),
+    });
+  });
+
+  function getRevisions() {
+    const now = host.now();
+    const others = members
+      .getMembers()
+      .filter((member) => !members.isGone(now, member.address))
+      .map(({ address, tableRevision }) => ({ address, tableRevision }));
+    return [{ address: options.address, tableRevision: table.getRevision() }, ...others];
+  }
+
+  return app;
+}
+
+async function countRefusal(response: Response, metrics: Metrics): Promise<void> {
+  if (response.status < 400 || !response.headers.get('content-type')?.includes('json')) {
+    return;
+  }
+  const body = (await response.clone().json()) as { error?: { code?: string } };
+  if (body.error?.code) {
+    metrics.refusals.inc({ reason: body.error.code });
+  }
+}
--- /dev/null
+++ b/src/members/createMembers.ts
@@ -0,0 +1,295 @@
+import type Message from '../mesh/Message';
+import type KeyValue from '../platform/KeyValue';
+import type VirtualMachine from '../platform/VirtualMachine';
+import getPrefixEnd from '../platform/getPrefixEnd';
+import createRepeater from '../shared/createRepeater';
+import type Time from '../shared/Time';
+import type Member from './Member';
+
+type Heartbeat = Extract<Message, { kind: 'heartbeat' }>;
+
+const MEMBER_PREFIX = '/baobablink/members/';
+const HEARTBEAT_PAUSE_MS = 300;
+const DEAD_AFTER_MS = 1500;
+const UNHEARD_BEFORE_REDIAL_MS = 1200;
+const REGISTRY_PAUSE_MS = 1000;
+const LIST_PAUSE_MS = 1000;
+
+interface MembersHost extends Time {
+  keyValue: KeyValue;
+  tryGetList(): Promise<VirtualMachine[] | undefined>;
+  send(to: string, message: Message): boolean;
+  redial(to: string): void;
+  setPeers(addresses: string[]): void;
+  /** The parts of the heartbeat that other controllers know. */
+  describe(
+    now: number,
+  ): Pick<Heartbeat, 'tableRevision' | 'newestRow' | 'confirmedAgeMs' | 'inFlight'>;
+  onHeard(now: number, member: Member): void;
+}
+
+interface Registration {
+  incarnation: string;
+}
+
+/**
+ * Knows the other entry VMs. Addresses come from settings, the platform's registry of leased
+ * keys and its list of VMs; liveness comes from heartbeats alone, since the platform lags.
+ */
+export default function createMembers(
+  host: MembersHost,
+  options: {
+    address: string;
+    dataCentre: string;
+    callerAddress: string;
+    incarnation: string;
+    seeds: string[];
+    leaseSeconds: number;
+  },
+) {
+  const members = new Map<string, Member>();
+  let registered = new Map<string, Registration>();
+  let registryReadAt = -Infinity;
+  let listed: VirtualMachine[] = [];
+  let state: 'live' | 'leaving' = 'live';
+  let lease: string | undefined;
+  let leaseValidUntil = -Infinity;
+  let stops: (() => void)[] = [];
+  const redialledAt = new Map<string, number>();
+
+  function start(): void {
+    stops = [
+      createRepeater(host, HEARTBEAT_PAUSE_MS, beat),
+      createRepeater(host, REGISTRY_PAUSE_MS, keepRegistered),
+      createRepeater(host, LIST_PAUSE_MS, readList),
+    ];
+  }
+
+  function beat(): void {
+    const now = host.now();
+    const addresses = getKnownAddresses();
+    host.setPeers(addresses);
+    const message: Heartbeat = {
+      kind: 'heartbeat',
+      incarnation: options.incarnation,
+      state,
+      dataCentre: options.dataCentre,
+      callerAddress: options.callerAddress,
+      heard: getHeard(now),
+      ...host.describe(now),
+    };
+    addresses.forEach((address) => host.send(address, message));
+  }
+
+  async function keepRegistered(): Promise<void> {
+    const sentAt = host.now();
+    if (lease !== undefined) {
+      const kept = await host.keyValue.keepLeaseAlive(lease);
+      if (kept.ok && kept.value > 0) {
+        leaseValidUntil = sentAt + options.leaseSeconds * 1000;
+      } else if (kept.ok) {
+        lease = undefined;
+      }
+    }
+    if (lease === undefined && state === 'live') {
+      await register();
+    }
+    await readRegistry();
+  }
+
+  async function register(): Promise<void> {
+    const sentAt = host.now();
+    const granted = await host.keyValue.grantLease(options.leaseSeconds);
+    if (!granted.ok) {
+      return;
+    }
+    const put = await host.keyValue.transact({
+      compare: [],
+      writes: [
+        {
+          kind: 'put',
+          key: `${MEMBER_PREFIX}${options.address}`,
+          value: JSON.stringify({ incarnation: options.incarnation }),
+          lease: granted.value,
+        },
+      ],
+      otherwiseRead: [],
+    });
+    if (put.ok) {
+      lease = granted.value;
+      leaseValidUntil = sentAt + options.leaseSeconds * 1000;
+    }
+  }
+
+  async function readRegistry(): Promise<void> {
+    const sentAt = host.now();
+    const answer = await host.keyValue.range({
+      key: MEMBER_PREFIX,
+      rangeEnd: getPrefixEnd(MEMBER_PREFIX),
+    });
+    if (!answer.ok) {
+      return;
+    }
+    registryReadAt = sentAt;
+    registered = new Map(
+      answer.value.entries.map((entry) => [
+        entry.key.slice(MEMBER_PREFIX.length),
+        JSON.parse(entry.value) as Registration,
+      ]),
+    );
+  }
+
+  async function readList(): Promise<void> {
+    const list = await host.tryGetList();
+    if (list) {
+      listed = list;
+    }
+  }
+
+  function getKnownAddresses(): string[] {
+    const known = new Set<string>(options.seeds);
+    registered.forEach((_, address) => known.add(address));
+    listed
+      .filter((machine) => machine.role === 'entry')
+      .forEach((machine) => known.add(machine.address));
+    members.forEach((_, address) => known.add(address));
+    known.delete(options.address);
+    return [...known];
+  }
+
+  function receive(from: string, message: Heartbeat): void {
+    const now = host.now();
+    const member: Member = {
+      address: from,
+      incarnation: message.incarnation,
+      state: message.state,
+      dataCentre: message.dataCentre,
+      callerAddress: message.callerAddress,
+      heardAt: now,
+      tableRevision: message.tableRevision,
+      newestRow: message.newestRow,
+      confirmedAgeMs: message.confirmedAgeMs,
+      inFlight: message.inFlight,
+      heard: new Set(message.heard),
+    };
+    members.set(from, member);
+    redialWhereUnheard(now, member);
+    host.onHeard(now, member);
+  }
+
+  function redialWhereUnheard(now: number, member: Member): void {
+    const last = redialledAt.get(member.address) ?? now - UNHEARD_BEFORE_REDIAL_MS / 2;
+    redialledAt.set(member.address, last);
+    if (member.heard.has(options.address)) {
+      redialledAt.set(member.address, now);
+    } else if (now - last > UNHEARD_BEFORE_REDIAL_MS) {
+      redialledAt.set(member.address, now);
+      host.redial(member.address);
+    }
+  }
+
+  function getHeard(now: number): string[] {
+    return [...members.values()]
+      .filter((member) => now - member.heardAt < DEAD_AFTER_MS)
+      .map((member) => member.address);
+  }
+
+  /** Whether a VM was heard by this one just now. */
+  function isHeard(now: number, address: string): boolean {
+    const member = members.get(address);
+    return member !== undefined && now - member.heardAt < DEAD_AFTER_MS;
+  }
+
+  /** Whether a VM is heard here or by one that is heard here: a cut between two is no death. */
+  function isAlive(now: number, address: string): boolean {
+    if (address === options.address || isHeard(now, address)) {
+      return true;
+    }
+    return [...members.values()].some(
+      (member) => now - member.heardAt < DEAD_AFTER_MS && member.heard.has(address),
+    );
+  }
+
+  /** The VMs that take new work, this one among them unless it is leaving. */
+  function getServing(now: number): string[] {
+    const serving = [...members.values()]
+      .filter((member) => member.state === 'live' && now - member.heardAt < DEAD_AFTER_MS)
+      .filter((member) => !isListedLeaving(member.address))
+      .map((member) => member.address);
+    return state === 'live' ? [options.address, ...serving] : serving;
+  }
+
+  function isListedLeaving(address: string): boolean {
+    return listed.some((machine) => machine.address === address && machine.state === 'leaving');
+  }
+
+  /**
+   * Whether a VM can no longer act on what it was told: its registration has lapsed by a read made
+   * after it was last heard, or it said that it leaves and its link is silent since.
+   */
+  function isGone(now: number, address: string): boolean {
+    if (isAlive(now, address)) {
+      return false;
+    }
+    const member = members.get(address);
+    const heardAt = member?.heardAt ?? -Infinity;
+    return registryReadAt > heardAt + DEAD_AFTER_MS && !registered.has(address);
+  }
+
+  /** The VMs that may hold grants: all that were ever known and are not known to be gone. */
+  function getPossibleHolders(now: number): string[] {
+    const possible = new Set([...members.keys(), ...registered.keys()]);
+    possible.delete(options.address);
+    return [...possible].filter((address) => !isGone(now, address));
+  }
+
+  /** Whether this VM and those it hears are more than half of those registered or heard. */
+  function hasMajority(now: number): boolean {
+    const all = new Set([options.address, ...registered.keys()]);
+    members.forEach((member) => {
+      if (member.state === 'live' && !isGone(now, member.address)) {
+        all.add(member.address);
+      }
+    });
+    const heard = [...all].filter(
+      (address) => address === options.address || isHeard(now, address),
+    ).length;
+    return heard * 2 > all.size;
+  }
+
+  /** Leaves: no new work after the next heartbeat; the registration stays until `stop`. */
+  function leave(): void {
+    state = 'leaving';
+    beat();
+  }
+
+  async function stop(): Promise<void> {
+    stops.forEach((end) => end());
+    if (lease !== undefined) {
+      await host.keyValue.revokeLease(lease);
+    }
+  }
+
+  return {
+    start,
+    stop,
+    leave,
+    receive,
+    isHeard,
+    isAlive,
+    isGone,
+    getServing,
+    getPossibleHolders,
+    hasMajority,
+    isListedLeaving,
+    isLeaving: () => state === 'leaving',
+    hasLease: (now: number) => now < leaseValidUntil,
+    getMembers: () => [...members.values()],
+    getUpstreamStates: () =>
+      new Map(
+        listed
+          .filter((machine) => machine.role === 'upstream')
+          .map((machine) => [machine.address, machine.state]),
+      ),
+  };
+}
--- /dev/null
+++ b/src/mesh/Message.ts
@@ -0,0 +1,123 @@
+import { z } from 'zod';
+import TableKind from '../table/TableKind';
+
+const Ask = z.object({
+  id: z.string(),
+  adapter: z.string(),
+  version: z.string(),
+  team: z.string(),
+  class: z.enum(['interactive', 'deferrable']),
+  priority: z.number(),
+  weight: z.number(),
+  tokens: z.number(),
+  /** Longest wait for a start, counted from the arrival of the message. */
+  startWithinMs: z.number(),
+  /** Conversation whose prefix an engine may hold. */
+  session: z.string().optional(),
+  /** Engine that has just failed this request and is not to be tried again. */
+  avoid: z.string().optional(),
+});
+
+const EngineResidency = z.object({
+  engine: z.string(),
+  names: z.array(z.string()),
+  running: z.number(),
+});
+
+const WireRow = z.object({
+  kind: z.enum(TableKind),
+  name: z.string(),
+  revision: z.number(),
+  edit: z.string(),
+  value: z.unknown(),
+});
+
+/** Everything that one entry VM says to another. Times are durations: clocks are not compared. */
+const Message = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('heartbeat'),
+    incarnation: z.string(),
+    state: z.enum(['live', 'leaving']),
+    dataCentre: z.string(),
+    /** `ip:port` at which callers reach the sender. */
+    callerAddress: z.string(),
+    /** Edits up to here are all applied. */
+    tableRevision: z.number(),
+    /** Revision of the newest row held, which may be ahead of `tableRevision`. */
+    newestRow: z.number(),
+    /** Age of the last proof that the table is the platform's; undefined without one. */
+    confirmedAgeMs: z.number().optional(),
+    inFlight: z.number(),
+    /** Addresses heard within the time after which a silent member counts as dead. */
+    heard: z.array(z.string()),
+  }),
+  z.object({ kind: z.literal('rowsWanted'), since: z.number() }),
+  z.object({
+    kind: z.literal('rows'),
+    rows: z.array(WireRow),
+    /** Set on the last part of an answer to `rowsWanted`: what the sender has confirmed. */
+    upTo: z.number().optional(),
+  }),
+  z.object({ kind: z.literal('ask'), pool: z.string(), ask: Ask }),
+  z.object({
+    kind: z.literal('granted'),
+    id: z.string(),
+    pool: z.string(),
+    fence: z.number(),
+    engine: z.string(),
+    name: z.string(),
+  }),
+  z.object({
+    kind: z.literal('refused'),
+    id: z.string(),
+    reason: z.enum([
+      'notOwner',
+      'noCapacity',
+      'deadline',
+      'queueFull',
+      'loadFailed',
+      'rateLimited',
+      'inFlightLimited',
+    ]),
+    retryAfterMs: z.number(),
+  }),
+  z.object({ kind: z.literal('finished'), id: z.string(), pool: z.string() }),
+  z.object({ kind: z.literal('missing'), pool: z.string(), engine: z.string(), name: z.string() }),
+  z.object({
+    kind: z.literal('withdraw'),
+    pool: z.string(),
+    fence: z.number(),
+    sequence: z.number(),
+    engine: z.string(),
+    name: z.string(),
+  }),
+  z.object({
+    kind: z.literal('withdrawn'),
+    pool: z.string(),
+    engine: z.string(),
+    name: z.string(),
+    busy: z.boolean(),
+  }),
+  z.object({
+    kind: z.literal('residency'),
+    pool: z.string(),
+    fence: z.number(),
+    /** Rises with every residency or withdrawal of one fence; an older message is dropped. */
+    sequence: z.number(),
+    engines: z.array(EngineResidency),
+  }),
+  /** The grants that the sender still uses; the owner drops others of its after a while. */
+  z.object({ kind: z.literal('holding'), pool: z.string(), ids: z.array(z.string()) }),
+  /** The receiver is now recorded as owner of a pool. */
+  z.object({ kind: z.literal('handover'), pool: z.string() }),
+  z.object({ kind: z.literal('callInquiry'), key: z.string(), nonce: z.string() }),
+  z.object({
+    kind: z.literal('callStatus'),
+    key: z.string(),
+    nonce: z.string(),
+    status: z.enum(['neverSent', 'maybeSent']),
+  }),
+]);
+type Message = z.infer<typeof Message>;
+
+export default Message;
--- /dev/null
+++ b/src/owners/Residency.ts
@@ -0,0 +1,6 @@
+import type createResidency from './createResidency';
+
+/** What this VM knows of the pools and holds of them. */
+type Residency = ReturnType<typeof createResidency>;
+
+export default Residency;
--- /dev/null
+++ b/src/platform/createVirtualMachineList.ts
@@ -0,0 +1,26 @@
+import { request } from 'undici';
+import { z } from 'zod';
+import type VirtualMachine from './VirtualMachine';
+
+const Listing = z.object({
+  vms: z.array(
+    z.object({
+      address: z.string(),
+      role: z.enum(['entry', 'upstream']),
+      state: z.enum(['live', 'leaving']),
+    }),
+  ),
+});
+
+/** Client of the platform's list of VMs; undefined when it can't be had. */
+export default function createVirtualMachineList(url: string, timeoutMs: number) {
+  return async function tryGetList(): Promise<VirtualMachine[] | undefined> {
+    try {
+      const response = await request(url, { signal: AbortSignal.timeout(timeoutMs) });
+      const parsed = Listing.safeParse(await response.body.json());
+      return parsed.success ? parsed.data.vms : undefined;
+    } catch {
+      return undefined;
+    }
+  };
+}
--- /dev/null
+++ b/src/requests/createBodyFilter.ts
@@ -0,0 +1,20 @@
+import type { MiddlewareHandler } from 'hono';
+import type Time from '../shared/Time';
+import type EntryContext from './EntryContext';
+import getRefusal from './getRefusal';
+import readBody from './readBody';
+
+/** Reads the body, and refuses one that is too large or too slow. */
+export default function createBodyFilter(
+  time: Time,
+  limits: { maxBytes: number; timeoutMs: number },
+): MiddlewareHandler<EntryContext> {
+  return async (context, next) => {
+    const body = await readBody(time, context.req.raw, limits);
+    if (!body.ok) {
+      return getRefusal(body.error);
+    }
+    context.set('text', body.value);
+    return next();
+  };
+}
--- /dev/null
+++ b/src/requests/createTrustFilter.ts
@@ -0,0 +1,13 @@
+import type { MiddlewareHandler } from 'hono';
+import type EntryContext from './EntryContext';
+import getRefusal from './getRefusal';
+
+const ISOLATED_RETRY_MS = 1000;
+
+/** Refuses work while this VM can't know that its table is in force: others can. */
+export default function createTrustFilter(
+  isTrusted: () => boolean,
+): MiddlewareHandler<EntryContext> {
+  return async (context, next) =>
+    isTrusted() ? next() : getRefusal('isolated', context.get('ran'), ISOLATED_RETRY_MS);
+}
--- /dev/null
+++ b/src/requests/readBody.ts
@@ -0,0 +1,39 @@
+import type Outcome from '../shared/Outcome';
+import type Time from '../shared/Time';
+
+/** Reads a body as text, within a limit of bytes and of time. */
+export default async function readBody(
+  time: Time,
+  request: Request,
+  limits: { maxBytes: number; timeoutMs: number },
+): Promise<Outcome<string, 'oversize' | 'slowBody'>> {
+  if (Number(request.headers.get('content-length') ?? 0) > limits.maxBytes) {
+    return { ok: false, error: 'oversize' };
+  }
+  if (!request.body) {
+    return { ok: true, value: '' };
+  }
+  const reader = request.body.getReader();
+  let isSlow = false;
+  const cancelTimer = time.setTimer(limits.timeoutMs, () => {
+    isSlow = true;
+    reader.cancel().catch(() => {});
+  });
+  const parts: Uint8Array[] = [];
+  let size = 0;
+  let part = await reader.read();
+  while (!part.done && size <= limits.maxBytes) {
+    parts.push(part.value);
+    size += part.value.length;
+    part = await reader.read();
+  }
+  cancelTimer();
+  if (isSlow) {
+    return { ok: false, error: 'slowBody' };
+  }
+  if (size > limits.maxBytes) {
+    reader.cancel().catch(() => {});
+    return { ok: false, error: 'oversize' };
+  }
+  return { ok: true, value: Buffer.concat(parts).toString('utf8') };
+}
--- /dev/null
+++ b/src/upstream/Engines.ts
@@ -0,0 +1,29 @@
+import type Outcome from '../shared/Outcome';
+import type CompletionChunk from './CompletionChunk';
+import type CompletionOrder from './CompletionOrder';
+import type EngineError from './EngineError';
+import type EngineReport from './EngineReport';
+
+/** Model engines, met through their published interface. Addresses are `ip:port`. */
+interface Engines {
+  /** The engine's own list of the adapters that it holds, without lag. */
+  getNames(address: string): Promise<Outcome<string[], EngineError>>;
+  getReport(address: string): Promise<Outcome<EngineReport, EngineError>>;
+  load(
+    address: string,
+    order: { name: string; model: string; fence: number },
+  ): Promise<Outcome<void, EngineError>>;
+  unload(
+    address: string,
+    order: { name: string; fence: number },
+  ): Promise<Outcome<void, EngineError>>;
+  /** Streams a completion; the answer stops it and tells the engine to cancel. */
+  stream(
+    address: string,
+    order: CompletionOrder,
+    onChunk: (chunk: CompletionChunk) => void,
+    onEnd: (error: EngineError | undefined) => void,
+  ): { cancel(): void; setPaused(paused: boolean): void };
+}
+
+export default Engines;
--- /dev/null
+++ b/src/upstream/createHttpEngines.ts
@@ -0,0 +1,235 @@
+import { Agent, request } from 'undici';
+import type { Dispatcher } from 'undici';
+import { z } from 'zod';
+import type Outcome from '../shared/Outcome';
+import type EngineError from './EngineError';
+import type Engines from './Engines';
+
+const ORDER_TIMEOUT_MS = 15_000;
+const READ_TIMEOUT_MS = 2000;
+const CONNECT_TIMEOUT_MS = 1000;
+const MAX_LINE_CHARACTERS = 1_000_000;
+const CONNECT_FAILURES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
+const STATUS_STALE = 409;
+const STATUS_MISSING = 404;
+const STATUS_FULL = 507;
+
+const ModelList = z.object({ data: z.array(z.object({ id: z.string() })) });
+const Report = z.object({
+  age_ms: z.number(),
+  leaving: z.boolean(),
+  boot: z.string(),
+  running: z.record(z.string(), z.number()),
+});
+const Chunk = z.object({
+  id: z.string(),
+  model: z.string(),
+  offset: z.number().int().min(0),
+  count: z.number().int().min(0).default(1),
+  choices: z
+    .array(
+      z.object({
+        text: z.string().optional(),
+        delta: z.object({ content: z.string().optional() }).optional(),
+        finish_reason: z.enum(['stop', 'length']).nullish(),
+      }),
+    )
+    .min(1),
+});
+
+/** Client of engines that speak the widely used completion interface with LoRA orders. */
+export default function createHttpEngines(): Engines {
+  const agent = new Agent({ connections: 256, connectTimeout: CONNECT_TIMEOUT_MS, pipelining: 1 });
+  const orderAgent = new Agent({ connections: 16, connectTimeout: CONNECT_TIMEOUT_MS });
+
+  async function call(
+    address: string,
+    method: 'GET' | 'POST',
+    path: string,
+    timeoutMs: number,
+    body?: unknown,
+    fence?: number,
+  ): Promise<Outcome<unknown, EngineError>> {
+    try {
+      const response = await request(`http://${address}${path}`, {
+        method,
+        dispatcher: orderAgent,
+        body: body === undefined ? undefined : JSON.stringify(body),
+        headers: {
+          'content-type': 'application/json',
+          ...(fence === undefined ? {} : { 'x-fencing-number': String(fence) }),
+        },
+        signal: AbortSignal.timeout(timeoutMs),
+      });
+      const text = await response.body.text();
+      if (response.statusCode >= 300) {
+        return { ok: false, error: getStatusError(response.statusCode, text) };
+      }
+      return { ok: true, value: text === '' ? undefined : JSON.parse(text) };
+    } catch (error) {
+      return { ok: false, error: getConnectionError(error) };
+    }
+  }
+
+  const getNames: Engines['getNames'] = async (address) => {
+    const answer = await call(address, 'GET', '/v1/models', READ_TIMEOUT_MS);
+    if (!answer.ok) {
+      return answer;
+    }
+    const list = ModelList.safeParse(answer.value);
+    return list.success
+      ? { ok: true, value: list.data.data.map(({ id }) => id).filter((id) => id.includes('@')) }
+      : { ok: false, error: { kind: 'failed', reason: 'model list is malformed' } };
+  };
+
+  const getReport: Engines['getReport'] = async (address) => {
+    const answer = await call(address, 'GET', '/v1/load', READ_TIMEOUT_MS);
+    if (!answer.ok) {
+      return answer;
+    }
+    const report = Report.safeParse(answer.value);
+    if (!report.success) {
+      return { ok: false, error: { kind: 'failed', reason: 'load report is malformed' } };
+    }
+    const { age_ms: ageMs, leaving, boot, running } = report.data;
+    return { ok: true, value: { ageMs, leaving, boot, running } };
+  };
+
+  const load: Engines['load'] = async (address, { name, model, fence }) => {
+    const body = { lora_name: name, lora_path: model };
+    const answer = await call(
+      address,
+      'POST',
+      '/v1/load_lora_adapter',
+      ORDER_TIMEOUT_MS,
+      body,
+      fence,
+    );
+    return answer.ok ? { ok: true, value: undefined } : answer;
+  };
+
+  const unload: Engines['unload'] = async (address, { name, fence }) => {
+    const body = { lora_name: name };
+    const answer = await call(
+      address,
+      'POST',
+      '/v1/unload_lora_adapter',
+      ORDER_TIMEOUT_MS,
+      body,
+      fence,
+    );
+    return answer.ok ? { ok: true, value: undefined } : answer;
+  };
+
+  const stream: Engines['stream'] = (address, order, onChunk, onEnd) => {
+    const abort = new AbortController();
+    let body: Dispatcher.ResponseData['body'] | undefined;
+    let ended = false;
+    const end = (error: EngineError | undefined) => {
+      if (!ended) {
+        ended = true;
+        onEnd(error);
+      }
+    };
+    const takeLine = (line: string) => {
+      if (!line.startsWith('data:')) {
+        return;
+      }
+      const data = line.slice('data:'.length).trim();
+      if (data === '[DONE]' || data === '') {
+        return;
+      }
+      const chunk = Chunk.safeParse(tryParseJson(data));
+      if (!chunk.success) {
+        end({ kind: 'failed', reason: 'malformed chunk' });
+        abort.abort();
+        return;
+      }
+      const [choice] = chunk.data.choices;
+      onChunk({
+        id: chunk.data.id,
+        model: chunk.data.model,
+        offset: chunk.data.offset,
+        count: chunk.data.count,
+        text: choice.delta?.content ?? choice.text ?? '',
+        finish: choice.finish_reason ?? undefined,
+      });
+    };
+    const follow = async () => {
+      const response = await request(`http://${address}${order.path}`, {
+        method: 'POST',
+        dispatcher: agent,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        signal: abort.signal,
+        headers: { 'content-type': 'application/json', 'x-request-id': order.id },
+        body: JSON.stringify({
+          ...order.body,
+          model: order.name,
+          stream: true,
+          priority: order.priority,
+          resume: order.resume,
+        }),
+      });
+      if (response.statusCode >= 300) {
+        end(getStatusError(response.statusCode, await response.body.text()));
+        return;
+      }
+      ({ body } = response);
+      body.setEncoding('utf8');
+      let rest = '';
+      body.on('data', (chunk: string) => {
+        const lines = (rest + chunk).split('\n');
+        rest = lines.pop()!;
+        lines.forEach(takeLine);
+        if (rest.length > MAX_LINE_CHARACTERS) {
+          end({ kind: 'failed', reason: 'line too long' });
+          abort.abort();
+        }
+      });
+      body.on('end', () => end(undefined));
+      body.on('error', (error) => end(getConnectionError(error)));
+    };
+    follow().catch((error) => end(getConnectionError(error)));
+    return {
+      cancel: () => {
+        if (!ended) {
+          ended = true;
+          abort.abort();
+          call(address, 'POST', '/v1/cancel', READ_TIMEOUT_MS, { id: order.id });
+        }
+      },
+      setPaused: (paused) => (paused ? body?.pause() : body?.resume()),
+    };
+  };
+
+  return { getNames, getReport, load, unload, stream };
+}
+
+function tryParseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+function getStatusError(status: number, text: string): EngineError {
+  switch (status) {
+    case STATUS_STALE:
+      return { kind: 'stale' };
+    case STATUS_MISSING:
+      return { kind: 'missing' };
+    case STATUS_FULL:
+      return { kind: 'full' };
+    default:
+      return { kind: 'failed', reason: `status ${status}: ${text.slice(0, 200)}` };
+  }
+}
+
+function getConnectionError(error: unknown): EngineError {
+  const { code, message } = error as { code?: string; message: string };
+  return CONNECT_FAILURES.has(code ?? '')
+    ? { kind: 'notSent', reason: message }
+    : { kind: 'lost', reason: message };
+}
