--- a/scripts/quickstart.ts
+++ b/scripts/quickstart.ts
@@ -36,7 +36,7 @@
   const where = runBinary(['where', 'lace-1', '--json'], trial.callerKey);
   const { addresses } = JSON.parse(where) as { addresses: string[] };
   check(addresses.length === VM_COUNT, `where lace-1: ${addresses.slice(0, 3).join(', ')}, …`);
-   
+
   for (const adapter of ADAPTERS) {
     const answer = await trial.chat(`http://${addresses[0]}`, `${adapter}@v1`);
     const isRight = answer.finished && answer.models.join() === `${adapter}@v1`;
--- a/src/cli/adapterCsv.ts
+++ b/src/cli/adapterCsv.ts
@@ -22,7 +22,7 @@
 /** Adapters' rows as CSV: versions are `name:weight` and data centres names, split by `;`. */
 const adapterCsv = {
   parse(text: string): { name: string; value: unknown }[] {
-    const lines = parse(text, { columns: true, skip_empty_lines: true, trim: true }) as Line[];
+    const lines = parse<Line>(text, { columns: true, skip_empty_lines: true, trim: true });
     return lines.map((line) => ({ name: line.name ?? '', value: getValue(line) }));
   },
   format(rows: { name: string; value: AdapterRow }[]): string {
--- a/src/cli/createClient.ts
+++ b/src/cli/createClient.ts
@@ -9,7 +9,7 @@
   return {
     call: async (method, path, body, headers = {}) => {
       const faults: string[] = [];
-       
+
       for (const url of urls) {
         try {
           const response = await request(`${url}${path}`, {
--- a/src/operators/createTableRoutes.ts
+++ b/src/operators/createTableRoutes.ts
@@ -186,7 +186,7 @@
       return [];
     }
     const rows: Row[] = [];
-     
+
     for (const edit of part) {
       rows.push(...(await editPart([edit], failed)));
     }
--- a/src/platform/createEtcdKeyValue.ts
+++ b/src/platform/createEtcdKeyValue.ts
@@ -147,7 +147,7 @@
         }),
       });
       let rest = '';
-       
+
       for await (const chunk of response.body) {
         rest += (chunk as Buffer).toString('utf8');
         const lines = rest.split('\n');
--- a/src/pool/createPool.ts
+++ b/src/pool/createPool.ts
@@ -73,7 +73,7 @@
 
   /** Takes a request: grants it, lets it wait, or refuses it when its time can't be met. */
   function submit(now: number, ask: PoolAsk, maxQueue = Infinity): PoolAction[] {
-    demand.note(now, ask.model, ask.weight);
+    demand.note(now, ask.model, ask.weight, holders.has(ask.model));
     if (!holders.has(ask.model)) {
       addAbsent(now, ask.model);
     }
--- a/src/pool/createValuePolicy.ts
+++ b/src/pool/createValuePolicy.ts
@@ -1,3 +1,4 @@
+import hasPlaceComing from './hasPlaceComing';
 import isEvictable from './isEvictable';
 import type PoolAsk from './PoolAsk';
 import type PoolEngine from './PoolEngine';
@@ -7,6 +8,8 @@
 const DEFERRABLE_WORTH = 0.1;
 const AGE_WORTH_MS = 2000;
 const REPLICA_WORTH = 0.2;
+/** Requests a second that loading beside the fullest batch is worth, against an idle engine. */
+const PACKING_RATE = 0.012;
 const PREFETCH_GAIN = 1.5;
 const PREFETCH_MIN_RATE = 0.002;
 const PREFETCH_SPARE_LOADS = 2;
@@ -45,7 +48,7 @@
       .filter(([model]) => !hasPlaceComing(view, model))
       .map(([model, queue]) => ({ model, worth: getWaitingWorth(now, queue) }))
       .sort((left, right) => right.worth - left.worth);
-     
+
     for (const { model } of ranked) {
       const place = tryChoosePlace(now, view, model, Infinity);
       if (place) {
@@ -78,17 +81,11 @@
   return { chooseEngine, tryChooseLoad };
 }
 
-function hasPlaceComing(view: PoolView, model: string): boolean {
-  return [...view.getHolders(model)].some((id) => {
-    const engine = view.engines.get(id)!;
-    return engine.resident.get(model)!.state === 'loading' || engine.running < engine.batchSize;
-  });
-}
-
 function getWaitingWorth(now: number, queue: readonly PoolAsk[]): number {
   return queue.reduce((sum, ask) => {
     const classWorth = ask.class === 'interactive' ? 1 : DEFERRABLE_WORTH;
-    return sum + ask.weight * classWorth * (1 + (now - ask.arrivedAt) / AGE_WORTH_MS);
+    const ageWorth = ((now - ask.arrivedAt) / AGE_WORTH_MS) ** 2;
+    return sum + ask.weight * (classWorth + ageWorth);
   }, 0);
 }
 
@@ -96,14 +93,17 @@
 function tryChoosePlace(now: number, view: PoolView, model: string, maxWorth: number) {
   let best: { engine: string; victim: string | undefined } | undefined;
   let bestCost = maxWorth;
+  const most = Math.max(1, ...[...view.engines.values()].map((engine) => engine.running));
   view.engines.forEach((engine) => {
     const isOut = !engine.usable || engine.running >= engine.batchSize;
     if (isOut || engine.resident.has(model) || view.isBackingOff(now, model, engine.id)) {
       return;
     }
-    const crowding = 1e-6 * (engine.running / engine.batchSize);
+    // A fuller batch is worth some demand, the more the less stalls weigh.
+    const idle = 1 - engine.running / most;
+    const packing = idle * PACKING_RATE * (1 - view.options.stallWeight);
     if (engine.resident.size < engine.slots) {
-      const cost = crowding - 1;
+      const cost = packing - 1;
       if (cost < bestCost) {
         best = { engine: engine.id, victim: undefined };
         bestCost = cost;
@@ -114,7 +114,7 @@
       if (!isEvictable(now, slot) || view.waiting.has(slot.model)) {
         return;
       }
-      const cost = getSlotWorth(now, view, slot.model) + crowding;
+      const cost = getSlotWorth(now, view, slot.model) + packing;
       if (cost < bestCost) {
         best = { engine: engine.id, victim: slot.model };
         bestCost = cost;
--- a/src/requests/createServiceHandler.ts
+++ b/src/requests/createServiceHandler.ts
@@ -130,7 +130,7 @@
       error: { kind: 'notSent', reason: 'every upstream is leaving' },
     };
     const usable = rows.filter((row) => !host.isLeaving(row.address));
-     
+
     for (const row of usable) {
       answer = await send(row, order);
       if (answer.ok || answer.error.kind !== 'notSent') {
@@ -147,7 +147,7 @@
   ): Promise<Outcome<ServiceAnswer, RequestError>> {
     let ran: 'no' | 'unknown' = 'no';
     const usable = rows.filter((row) => !host.isLeaving(row.address));
-     
+
     for (const row of [...usable, ...usable]) {
       const answer = await send(row, order);
       if (answer.ok) {
--- a/src/table/createTableController.ts
+++ b/src/table/createTableController.ts
@@ -152,11 +152,11 @@
     if (!loaded) {
       return;
     }
-    for (let start = 0; start === 0 || start < rows.length; start += ROWS_PER_MESSAGE) {
-      const isLast = start + ROWS_PER_MESSAGE >= rows.length;
+    for (let first = 0; first === 0 || first < rows.length; first += ROWS_PER_MESSAGE) {
+      const isLast = first + ROWS_PER_MESSAGE >= rows.length;
       host.send(from, {
         kind: 'rows',
-        rows: rows.slice(start, start + ROWS_PER_MESSAGE),
+        rows: rows.slice(first, first + ROWS_PER_MESSAGE),
         upTo: isLast ? table.getRevision() : undefined,
       });
     }
--- a/src/upstream/createHttpServices.ts
+++ b/src/upstream/createHttpServices.ts
@@ -1,5 +1,4 @@
 import { Agent, request } from 'undici';
-import type { Dispatcher } from 'undici';
 import type Services from './Services';
 
 const CONNECT_TIMEOUT_MS = 1000;
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -169,7 +169,7 @@
 
 const server = http.createServer(async (request, response) => {
   const parts: Buffer[] = [];
-   
+
   for await (const chunk of request) {
     parts.push(chunk as Buffer);
   }
--- a/standins/keyValue.ts
+++ b/standins/keyValue.ts
@@ -84,7 +84,7 @@
     : wires[0];
 }
 
-function answer(path: string, body: Record<string, unknown>): unknown {
+function getAnswer(path: string, body: Record<string, unknown>): unknown {
   const now = Date.now();
   state.expire(now);
   const header = { revision: String(state.getRevision()) };
@@ -140,7 +140,7 @@
 
 const server = http.createServer(async (request, response) => {
   const parts: Buffer[] = [];
-   
+
   for await (const chunk of request) {
     parts.push(chunk as Buffer);
   }
@@ -186,7 +186,7 @@
     watch(body, response);
     return;
   }
-  const value = answer(path, body);
+  const value = getAnswer(path, body);
   if (path === '/v3/kv/txn' && faults.loseAnswers > 0) {
     faults.loseAnswers -= 1;
     request.socket.destroy();
--- a/standins/service.ts
+++ b/standins/service.ts
@@ -12,7 +12,7 @@
 
 const server = http.createServer(async (request, response) => {
   const parts: Buffer[] = [];
-   
+
   for await (const chunk of request) {
     parts.push(chunk as Buffer);
   }
