--- a/src/completions/createCompletions.ts
+++ b/src/completions/createCompletions.ts
@@ -115,7 +115,7 @@
       // The same engine gets one more try after a broken stream: it has the prefix.
       const isLink = reason === 'silent' || reason === 'lost';
       if (!isLink || attempt % 2 === 0) {
-        avoid = place.engine;
+        avoid = reason === 'missing' ? undefined : place.engine;
         place.release();
         place = undefined;
       }
--- a/src/completions/createPlaces.ts
+++ b/src/completions/createPlaces.ts
@@ -12,6 +12,7 @@
 type Reply = Extract<Message, { kind: 'granted' | 'refused' }>;
 
 const OWNER_CHECK_MS = 100;
+const ASK_REPEAT_MS = 1000;
 const HOLDING_PAUSE_MS = 3000;
 const NO_OWNER_RETRY_MS = 1500;
 
@@ -71,9 +72,11 @@
   ): Promise<Outcome<Place, RequestError>> {
     while (host.now() < completion.startBy) {
       const owner = getOwner(completion.pool);
-      const isReachable =
-        owner !== undefined && (owner === options.address || members.isHeard(host.now(), owner));
-      if (isReachable) {
+      const resident = isDirect(owner) ? undefined : tryTakeResident(completion, avoid);
+      if (resident) {
+        return { ok: true, value: resident };
+      }
+      if (owner !== undefined && isReachable(owner)) {
         const reply = await ask(owner, completion, avoid);
         if (reply?.kind === 'granted') {
           const place = takeGrant(owner, reply);
@@ -84,11 +87,6 @@
           const { reason, retryAfterMs } = reply;
           return { ok: false, error: { reason, ran: 'no', retryAfterMs } };
         }
-      } else {
-        const place = tryTakeResident(completion, avoid);
-        if (place) {
-          return { ok: true, value: place };
-        }
       }
       await pause(OWNER_CHECK_MS);
     }
@@ -96,6 +94,14 @@
     return { ok: false, error };
   }
 
+  function isDirect(owner: string | undefined): boolean {
+    return owner === options.address || (owner !== undefined && members.isHeard(host.now(), owner));
+  }
+
+  function isReachable(owner: string): boolean {
+    return owner === options.address || members.isAlive(host.now(), owner);
+  }
+
   function pause(delayMs: number): Promise<void> {
     return new Promise((resolve) => {
       host.setTimer(delayMs, resolve);
@@ -131,17 +137,32 @@
     };
     return new Promise((resolve) => {
       let cancelCheck = () => {};
+      let askedAt = now;
+      // A link may have lost the request or its reply; the owner knows a repeated one by its id.
+      const repeatAsk = () => {
+        if (owner !== options.address && host.now() - askedAt >= ASK_REPEAT_MS) {
+          askedAt = host.now();
+          const startWithinMs = Math.max(0, completion.startBy - askedAt);
+          host.send(owner, { ...message, ask: { ...message.ask, startWithinMs } });
+        }
+      };
       const end = (reply: Reply | undefined) => {
         cancelCheck();
         waits.delete(id);
         resolve(reply);
       };
       const check = () => {
-        const isLost = owner !== options.address && !members.isHeard(host.now(), owner);
-        if (isLost || getOwner(pool) !== owner || host.now() > completion.startBy + 1000) {
+        const isLost = !isDirect(owner) && hasResident(completion, avoid);
+        if (
+          isLost ||
+          !isReachable(owner) ||
+          getOwner(pool) !== owner ||
+          host.now() > completion.startBy + 1000
+        ) {
           host.send(owner, { kind: 'finished', pool, id });
           end(undefined);
         } else {
+          repeatAsk();
           cancelCheck = host.setTimer(OWNER_CHECK_MS, check);
         }
       };
@@ -201,20 +222,28 @@
    * counts as a holder: by its own lease, or because no one can tell that the lease has lapsed.
    */
   function tryTakeResident(completion: Completion, avoid: string | undefined): Place | undefined {
+    const candidate = tryGetResident(completion, avoid);
+    const row = candidate && table.tryGetValue('upstreams', candidate.engine);
+    if (row?.kind !== 'engine') {
+      return undefined;
+    }
+    const { engine, name } = candidate!;
+    return { engine, address: row.address, name, release: residency.pin(engine, name) };
+  }
+
+  function tryGetResident(completion: Completion, avoid: string | undefined) {
     const now = host.now();
     if (!members.hasLease(now) && !members.hasMajority(now)) {
       return undefined;
     }
     const model = `${completion.adapter}@${completion.version}`;
-    const candidate = residency
+    return residency
       .getCandidates(completion.pool, model)
       .find(({ engine }) => engine !== avoid && !isLeaving(engine));
-    const row = candidate && table.tryGetValue('upstreams', candidate.engine);
-    if (row?.kind !== 'engine') {
-      return undefined;
-    }
-    const { engine, name } = candidate!;
-    return { engine, address: row.address, name, release: residency.pin(engine, name) };
+  }
+
+  function hasResident(completion: Completion, avoid: string | undefined): boolean {
+    return tryGetResident(completion, avoid) !== undefined;
   }
 
   function isLeaving(engine: string): boolean {
@@ -226,7 +255,7 @@
   function reportMissing(pool: string, place: Place): void {
     const owner = getOwner(pool);
     if (owner === options.address) {
-      owners.receiveMissing(pool, place.engine);
+      owners.receiveMissing(pool, place.engine, place.name);
     } else if (owner !== undefined) {
       host.send(owner, { kind: 'missing', pool, engine: place.engine, name: place.name });
     }
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -4,7 +4,7 @@
 import createPlaces from '../completions/createPlaces';
 import createApp from '../http/createApp';
 import createMembers from '../members/createMembers';
-import type Message from '../mesh/Message';
+import Message from '../mesh/Message';
 import createMetrics from '../metrics/createMetrics';
 import createOwners from '../owners/createOwners';
 import createResidency from '../owners/createResidency';
@@ -53,14 +53,27 @@
     },
     table,
   );
+  /** Sends directly, or by way of a third VM while the link to the receiver is cut. */
+  function send(to: string, message: Message): boolean {
+    const now = host.now();
+    const relay = members.isHeard(now, to) ? undefined : members.tryGetRelay(now, to);
+    return relay === undefined
+      ? host.send(to, message)
+      : host.send(relay, { kind: 'relay', from: address, to, message });
+  }
+
   const owners = createOwners(
-    { ...host, deliver: (message) => receive(address, message) },
+    { ...host, send, deliver: (message) => receive(address, message) },
     { members, table, residency, metrics },
     { address, pool: options.pool },
   );
-  const places = createPlaces(host, { members, owners, residency, table }, { address });
+  const places = createPlaces(
+    { ...host, send },
+    { members, owners, residency, table },
+    { address },
+  );
   const completions = createCompletions(host, { places, metrics }, options);
-  const calls = createCalls(host, { address, keptSeconds: options.callKeptSeconds });
+  const calls = createCalls({ ...host, send }, { address, keptSeconds: options.callKeptSeconds });
 
   /** Counts a request in progress; the answer ends it, once. */
   function enter(): () => void {
@@ -91,17 +104,29 @@
       .with({ kind: 'granted' }, { kind: 'refused' }, (reply) => places.receive(from, reply))
       .with({ kind: 'finished' }, ({ pool, id }) => owners.finish(pool, id))
       .with({ kind: 'holding' }, ({ pool, ids }) => owners.receiveHolding(from, pool, ids))
-      .with({ kind: 'missing' }, ({ pool, engine }) => owners.receiveMissing(pool, engine))
+      .with({ kind: 'missing' }, ({ pool, engine, name }) =>
+        owners.receiveMissing(pool, engine, name),
+      )
       .with({ kind: 'withdraw' }, (withdrawal) => {
         const { pool, engine, name } = withdrawal;
         const busy = residency.withdraw(from, withdrawal);
-        host.send(from, { kind: 'withdrawn', pool, engine, name, busy });
+        send(from, { kind: 'withdrawn', pool, engine, name, busy });
       })
       .with({ kind: 'withdrawn' }, (withdrawn) => owners.receiveWithdrawn(from, withdrawn))
       .with({ kind: 'residency' }, (announcement) => {
         residency.announce(from, announcement);
         owners.noticeFence(announcement.pool, announcement.fence);
       })
+      .with({ kind: 'relay' }, (relayed) => {
+        if (relayed.to !== address) {
+          host.send(relayed.to, relayed);
+          return;
+        }
+        const inner = Message.safeParse(relayed.message);
+        if (inner.success && inner.data.kind !== 'relay') {
+          receive(relayed.from, inner.data);
+        }
+      })
       .with({ kind: 'handover' }, () => owners.observe())
       .with({ kind: 'callInquiry' }, { kind: 'callStatus' }, (call) => calls.receive(from, call))
       .exhaustive();
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -11,6 +11,8 @@
 const MEMBER_PREFIX = '/baobablink/members/';
 const HEARTBEAT_PAUSE_MS = 300;
 const DEAD_AFTER_MS = 1500;
+/** Shorter than `DEAD_AFTER_MS`, so that word of a dead VM is not passed on for long. */
+const TOLD_HEARD_MS = 900;
 const UNHEARD_BEFORE_REDIAL_MS = 1200;
 const REGISTRY_PAUSE_MS = 1000;
 const LIST_PAUSE_MS = 1000;
@@ -79,6 +81,16 @@
       ...host.describe(now),
     };
     addresses.forEach((address) => host.send(address, message));
+    members.forEach((member) => redialWhereSilent(now, member));
+  }
+
+  /** Replaces the link to a VM that is not heard: both ways may have been lost track of. */
+  function redialWhereSilent(now: number, member: Member): void {
+    const last = Math.max(member.heardAt, redialledAt.get(member.address) ?? -Infinity);
+    if (now - last > UNHEARD_BEFORE_REDIAL_MS) {
+      redialledAt.set(member.address, now);
+      host.redial(member.address);
+    }
   }
 
   async function keepRegistered(): Promise<void> {
@@ -190,7 +202,7 @@
 
   function getHeard(now: number): string[] {
     return [...members.values()]
-      .filter((member) => now - member.heardAt < DEAD_AFTER_MS)
+      .filter((member) => now - member.heardAt < TOLD_HEARD_MS)
       .map((member) => member.address);
   }
 
@@ -200,14 +212,19 @@
     return member !== undefined && now - member.heardAt < DEAD_AFTER_MS;
   }
 
+  /** A VM that is heard here and hears another one, which is not heard here. */
+  function tryGetRelay(now: number, address: string): string | undefined {
+    return [...members.values()].find(
+      (member) => now - member.heardAt < DEAD_AFTER_MS && member.heard.has(address),
+    )?.address;
+  }
+
   /** Whether a VM is heard here or by one that is heard here: a cut between two is no death. */
   function isAlive(now: number, address: string): boolean {
     if (address === options.address || isHeard(now, address)) {
       return true;
     }
-    return [...members.values()].some(
-      (member) => now - member.heardAt < DEAD_AFTER_MS && member.heard.has(address),
-    );
+    return tryGetRelay(now, address) !== undefined;
   }
 
   /** The VMs that take new work, this one among them unless it is leaving. */
@@ -277,6 +294,7 @@
     receive,
     isHeard,
     isAlive,
+    tryGetRelay,
     isGone,
     getServing,
     getPossibleHolders,
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -106,6 +106,13 @@
     sequence: z.number(),
     engines: z.array(EngineResidency),
   }),
+  /** Carries a message between two VMs that can't reach each other but both reach the receiver. */
+  z.object({
+    kind: z.literal('relay'),
+    from: z.string(),
+    to: z.string(),
+    message: z.unknown(),
+  }),
   /** The grants that the sender still uses; the owner drops others of its after a while. */
   z.object({ kind: z.literal('holding'), pool: z.string(), ids: z.array(z.string()) }),
   /** The receiver is now recorded as owner of a pool. */
--- a/src/owners/createOwners.ts
+++ b/src/owners/createOwners.ts
@@ -626,9 +626,10 @@
   }
 
   /** Learns from an entry VM that an engine did not hold an adapter that it was granted. */
-  async function receiveMissing(poolName: string, engine: string): Promise<void> {
+  async function receiveMissing(poolName: string, engine: string, name: string): Promise<void> {
     const ownership = owned.get(poolName);
     if (ownership?.rows.has(engine)) {
+      execute(ownership, ownership.pool.drop(host.now(), engine, name));
       await rereadEngine(ownership, engine);
     }
   }
--- a/src/pool/createPool.ts
+++ b/src/pool/createPool.ts
@@ -77,6 +77,7 @@
     if (!holders.has(ask.model)) {
       addAbsent(now, ask.model);
     }
+    dropAvoidWhereAlone(ask);
     const granted = tryGrant(now, ask);
     if (granted) {
       return [granted];
@@ -93,6 +94,12 @@
     return plan(now);
   }
 
+  /** An engine that has failed a request is still better than none. */
+  function dropAvoidWhereAlone(ask: PoolAsk): void {
+    const hasOther = [...engines.values()].some(({ id, usable }) => usable && id !== ask.avoid);
+    Object.assign(ask, { avoid: hasOther ? ask.avoid : undefined });
+  }
+
   function tryGrant(now: number, ask: PoolAsk): PoolAction | undefined {
     const candidates: PoolEngine[] = [];
     view.getHolders(ask.model).forEach((id) => {
@@ -471,8 +478,19 @@
     return [...drain(now, engine), ...plan(now)];
   }
 
+  /** Takes the word of a VM that an engine does not hold what it was thought to hold. */
+  function drop(now: number, id: string, name: string): PoolAction[] {
+    const engine = engines.get(id);
+    const slot = engine && [...engine.resident.values()].find((held) => held.name === name);
+    if (slot?.state === 'resident') {
+      dropSlot(now, engine!, slot.model);
+    }
+    return plan(now);
+  }
+
   return {
     view,
+    drop,
     submit,
     finish,
     cancel,
--- a/src/pool/createValuePolicy.ts
+++ b/src/pool/createValuePolicy.ts
@@ -95,7 +95,8 @@
   let bestCost = maxWorth;
   const most = Math.max(1, ...[...view.engines.values()].map((engine) => engine.running));
   view.engines.forEach((engine) => {
-    const isOut = !engine.usable || engine.running >= engine.batchSize;
+    const isAvoided = view.waiting.get(model)?.[0]?.avoid === engine.id;
+    const isOut = isAvoided || !engine.usable || engine.running >= engine.batchSize;
     if (isOut || engine.resident.has(model) || view.isBackingOff(now, model, engine.id)) {
       return;
     }
--- /dev/null
+++ b/test/scenario/createWorld.ts
@@ -0,0 +1,371 @@
+import { createHash } from 'node:crypto';
+import createEntry from '../../src/entry/createEntry';
+import type VirtualMachine from '../../src/platform/VirtualMachine';
+import type Engines from '../../src/upstream/Engines';
+import createFakeEngine from './createFakeEngine';
+import createFakeLinks from './createFakeLinks';
+import createFakePlatform from './createFakePlatform';
+import createFakeServices from './createFakeServices';
+import type Gate from './Gate';
+import createVirtualTime from './createVirtualTime';
+
+const OPERATOR_TOKEN = 'operator-token-1';
+const CALLER_KEY = 'caller-key-1';
+const TEAM = 'atelier';
+
+interface Vm {
+  entry: ReturnType<typeof createEntry>;
+  isDead: boolean;
+  isFrozen: boolean;
+  freezeAtUnload: boolean;
+  backlog: (() => void)[];
+  stopped: number | undefined;
+}
+
+/** What a caller got, as the caller saw it. */
+interface Result {
+  status: number;
+  text: string;
+  model: string | undefined;
+  code: string | undefined;
+  ran: string | undefined;
+  requestId: string | undefined;
+  isWhole: boolean;
+}
+
+/** The fields of answers that are looked at. */
+interface Body {
+  error?: { code: string; ran: string };
+  done?: string;
+  value?: Record<string, unknown>;
+  revision?: number;
+  everywhere?: boolean;
+}
+
+/** Entry VMs with faked surroundings in injected time. */
+export default function createWorld() {
+  const time = createVirtualTime();
+  const platform = createFakePlatform(time);
+  const services = createFakeServices(time);
+  const engines = new Map<string, ReturnType<typeof createFakeEngine>>();
+  const vms = new Map<string, Vm>();
+  const list = new Map<string, VirtualMachine>();
+  const results = new Map<string, Result | undefined>();
+  const events: string[] = [];
+  const engineSlots = new Map<string, number>();
+  let listLagMs = 0;
+  let nonces = 0;
+  const links = createFakeLinks(time, (from, to, message) => {
+    const vm = vms.get(to.split(':')[0]);
+    if (vm) {
+      getGate(vm).pass(() => vm.entry.receive(from, message));
+    }
+  });
+
+  function getGate(vm: Vm): Gate {
+    return {
+      pass: (callback) => {
+        if (vm.isDead) {
+          return;
+        }
+        if (vm.isFrozen) {
+          vm.backlog.push(callback);
+        } else {
+          callback();
+        }
+      },
+      isDead: () => vm.isDead,
+    };
+  }
+
+  function getAddress(name: string): string {
+    return `${name}:7080`;
+  }
+
+  function startVm(name: string): void {
+    const vm: Vm = {
+      isDead: false,
+      isFrozen: false,
+      freezeAtUnload: false,
+      backlog: [],
+      stopped: undefined,
+    } as never as Vm;
+    const gate = getGate(vm);
+    const address = getAddress(name);
+    const views = new Map(
+      [...engines].map(([id, engine]) => [getEngineAddress(id), engine.createView(gate)]),
+    );
+    const engineHost: Engines = {
+      getNames: (at) => views.get(at)!.getNames(),
+      getReport: (at) => views.get(at)!.getReport(),
+      load: (at, order) => views.get(at)!.load(order.name, order.fence),
+      unload: async (at, order) => {
+        if (vm.freezeAtUnload) {
+          vm.freezeAtUnload = false;
+          vm.isFrozen = true;
+          // The order leaves only when the VM wakes.
+          await new Promise<void>((resolve) => {
+            vm.backlog.push(resolve);
+          });
+        }
+        return views.get(at)!.unload(order.name, order.fence);
+      },
+      stream: (at, order, onChunk, onEnd) => views.get(at)!.stream(at, order, onChunk, onEnd),
+    };
+    vm.entry = createEntry(
+      {
+        now: time.now,
+        setTimer: (delayMs, callback) => time.setTimer(delayMs, () => gate.pass(callback)),
+        keyValue: platform.createKeyValue(name, gate),
+        tryGetList: () =>
+          new Promise((resolve) => {
+            const seen = [...list.values()];
+            time.setTimer(listLagMs + 1, () => gate.pass(() => resolve(seen)));
+          }),
+        engines: engineHost,
+        services: services.createServices(gate),
+        send: (to, message) => !vm.isDead && links.send(address, to, message),
+        redial: (to) => links.redial(address, to),
+        setPeers: () => {},
+        random: () => 0.5,
+        getNonce: () => {
+          nonces += 1;
+          return `n${nonces}`;
+        },
+        log: (event, fields) => {
+          events.push(`${Math.round(time.now())} ${name} ${event} ${JSON.stringify(fields ?? {})}`);
+        },
+      },
+      {
+        address,
+        callerAddress: `${name}:8080`,
+        dataCentre: 'dc1',
+        seeds: [],
+        leaseSeconds: 4,
+        rootToken: OPERATOR_TOKEN,
+        pool: { loadsPerSecond: 3, maxLoadsInFlight: 8, loadMs: 250, stallWeight: 0.7 },
+        deadlinesMs: { interactive: 8000, deferrable: 60_000 },
+        serviceTimeoutMs: 10_000,
+        callKeptSeconds: 3600,
+        firstTokenSilenceMs: 2500,
+        silenceMs: 1000,
+        maxBodyBytes: 100_000,
+        bodyTimeoutMs: 5000,
+        handedOutMs: 2000,
+        stopDeadlineMs: 60_000,
+      },
+    );
+    vms.set(name, vm);
+    list.set(name, { address, role: 'entry', state: 'live' });
+    vm.entry.start();
+  }
+
+  function getEngineAddress(id: string): string {
+    return `127.0.0.${10 + [...engines.keys()].indexOf(id)}:9001`;
+  }
+
+  function addEngine(id: string, options: { slots: number; checksFencing: boolean }): void {
+    engines.set(id, createFakeEngine(time, options));
+    engineSlots.set(id, options.slots);
+  }
+
+  function fetchAt(vmName: string, path: string, init: RequestInit): Promise<Response> {
+    const vm = vms.get(vmName)!;
+    return new Promise((resolve) => {
+      getGate(vm).pass(() => {
+        Promise.resolve(vm.entry.fetch(new Request(`http://${vmName}${path}`, init))).then(
+          (response) => {
+            getGate(vm).pass(() => resolve(response));
+          },
+        );
+      });
+    });
+  }
+
+  function getHeaders(secret: string, more: Record<string, string> = {}) {
+    return { 'content-type': 'application/json', authorization: `Bearer ${secret}`, ...more };
+  }
+
+  /** Sends a streamed completion; its result is noted when it has ended. */
+  function request(id: string, model: string, vm: string, tokens: number, deadlineMs?: number) {
+    results.set(id, undefined);
+    const headers = getHeaders(
+      CALLER_KEY,
+      deadlineMs === undefined ? {} : { 'x-deadline-ms': String(deadlineMs) },
+    );
+    const body = JSON.stringify({ model, stream: true, max_tokens: tokens, messages: [] });
+    fetchAt(vm, '/v1/chat/completions', { method: 'POST', headers, body }).then((response) =>
+      readResult(id, response, tokens),
+    );
+  }
+
+  async function readResult(id: string, response: Response, tokens: number): Promise<void> {
+    const raw = await response.text();
+    const requestId = response.headers.get('x-request-id') ?? undefined;
+    const lines = response.headers.get('content-type')?.includes('event-stream')
+      ? raw
+          .split('\n\n')
+          .filter((line) => line.startsWith('data: {'))
+          .map((line) => JSON.parse(line.slice(6)))
+      : [JSON.parse(raw)];
+    const error = lines.find((line) => line.error)?.error;
+    const chunks = lines.filter((line) => line.choices);
+    const model = chunks[0]?.model as string | undefined;
+    const text = chunks.map((chunk) => chunk.choices[0].delta?.content ?? '').join('');
+    const whole = Array.from({ length: tokens }, (_, index) => `${model}:${index} `).join('');
+    results.set(id, {
+      status: response.status,
+      text,
+      model,
+      code: error?.code,
+      ran: error?.ran,
+      requestId,
+      isWhole: text === whole && chunks.some((chunk) => chunk.choices[0].finish_reason),
+    });
+  }
+
+  /** Sends a non-idempotent call. Its body names its key, so that the service counts by key. */
+  function book(id: string, key: string, vm: string): void {
+    results.set(id, undefined);
+    const headers = getHeaders(CALLER_KEY, { 'idempotency-key': key });
+    const init = { method: 'POST', headers, body: getBookingBody(key) };
+    fetchAt(vm, '/v1/services/desk/holds', init).then(async (response) => {
+      const body = (await response.json()) as Body;
+      results.set(id, {
+        status: response.status,
+        text: JSON.stringify(body),
+        model: undefined,
+        code: body.error?.code,
+        ran: body.error?.ran,
+        requestId: undefined,
+        isWhole: response.status === 200 && body.done === getBookingBody(key),
+      });
+    });
+  }
+
+  function getBookingBody(key: string): string {
+    return JSON.stringify({ hold: key });
+  }
+
+  async function operate(vm: string, method: string, path: string, value?: unknown, headers = {}) {
+    const response = await fetchAt(vm, path, {
+      method,
+      headers: getHeaders(OPERATOR_TOKEN, headers),
+      body: value === undefined ? undefined : JSON.stringify(value),
+    });
+    return { status: response.status, body: (await response.json()) as Body };
+  }
+
+  /** Edits the weight of an adapter's row; the result is noted when it has ended. */
+  function edit(id: string, adapter: string, weight: number, vm: string): void {
+    results.set(id, undefined);
+    const path = `/v1/table/adapters/${adapter}`;
+    operate(vm, 'GET', path)
+      .then(({ body }) =>
+        operate(vm, 'PUT', path, { ...body.value, weight }, { 'if-match': `"${body.revision}"` }),
+      )
+      .then(({ status, body }) =>
+        results.set(id, {
+          status,
+          text: JSON.stringify(body),
+          model: undefined,
+          code: body.error?.code,
+          ran: body.error?.ran,
+          requestId: undefined,
+          isWhole: status === 200,
+        }),
+      );
+  }
+
+  function getAdapterRow(versions: string[]) {
+    return {
+      team: TEAM,
+      baseModel: 'base',
+      versions: versions.map((name, index) => ({ name, weight: index === 0 ? 1 : 0 })),
+      currentVersion: versions[0],
+    };
+  }
+
+  async function fillTable(adapters: Map<string, string[]>, checks: Map<string, boolean>) {
+    const [vm] = vms.keys();
+    const put = (path: string, value: unknown) => operate(vm, 'PUT', `/v1/table/${path}`, value);
+    const key = createHash('sha256').update(CALLER_KEY).digest('hex');
+    const work = (async () => {
+      await put(`teams/${TEAM}`, { keys: [key] });
+      // eslint-disable-next-line no-restricted-syntax -- one after the other
+      for (const id of engines.keys()) {
+        await put(`upstreams/${id}`, {
+          kind: 'engine',
+          address: getEngineAddress(id),
+          dataCentre: 'dc1',
+          baseModel: 'base',
+          slots: engineSlots.get(id),
+          batchSize: 8,
+          checksFencing: checks.get(id),
+        });
+      }
+      await put('upstreams/desk1', {
+        kind: 'service',
+        address: '127.0.0.1:9100',
+        dataCentre: 'dc1',
+        service: 'desk',
+      });
+      // eslint-disable-next-line no-restricted-syntax -- one after the other
+      for (const [name, versions] of adapters) {
+        await put(`adapters/${name}`, getAdapterRow(versions));
+      }
+    })();
+    await Promise.race([work, time.advance(3000)]);
+    await work;
+  }
+
+  function kill(name: string): void {
+    const vm = vms.get(name)!;
+    vm.isDead = true;
+    list.delete(name);
+  }
+
+  function thaw(name: string): void {
+    const vm = vms.get(name)!;
+    vm.isFrozen = false;
+    vm.backlog.splice(0).forEach((callback) => getGate(vm).pass(callback));
+  }
+
+  function stop(name: string): void {
+    const vm = vms.get(name)!;
+    list.set(name, { address: getAddress(name), role: 'entry', state: 'leaving' });
+    vm.entry.stop().then((cut) => {
+      vm.stopped = cut;
+      vm.isDead = true;
+      list.delete(name);
+    });
+  }
+
+  return {
+    time,
+    platform,
+    services,
+    engines,
+    vms,
+    list,
+    links,
+    results,
+    events,
+    addEngine,
+    startVm,
+    fillTable,
+    request,
+    book,
+    edit,
+    operate,
+    kill,
+    thaw,
+    stop,
+    getAddress,
+    getEngineAddress,
+    getBookingBody,
+    setListLag: (lagMs: number) => {
+      listLagMs = lagMs;
+    },
+  };
+}
