Keep no slot loading without an order; unload what a former owner loaded late

Change: a re-read leaves slots with orders on their way alone; an adapter that an engine holds beside the pool's own is evicted as any other, its slot out of use until then.

--- a/src/owners/createOwners.ts
+++ b/src/owners/createOwners.ts
@@ -59,6 +59,8 @@
   askers: Map<string, { from: string; release: () => void; at: number }>;
   boots: Map<string, string>;
   failures: Map<string, number>;
+  /** Adapters that an engine holds beside the pool's own of the same model, to be unloaded. */
+  surplus: Map<string, Set<string>>;
   sequence: number;
   announcedAt: number;
   isAnnouncing: boolean;
@@ -209,6 +211,7 @@
       askers: new Map(),
       boots: new Map(),
       failures: new Map(),
+      surplus: new Map(),
       sequence: 0,
       announcedAt: -Infinity,
       isAnnouncing: false,
@@ -232,13 +235,14 @@
     }
   }
 
-  /** An adapter that a former owner may still unload keeps its slot out of use. */
+  /** Slots are out of use while they hold a surplus, or what a former owner may still unload. */
   function getEngineLimits(ownership: Ownership, id: string, row: EngineRow) {
     const doubtful = ownership.intents.filter(
       (intent) => intent.engine === id && isDoubtful(ownership, id, intent.name),
     ).length;
     const { batchSize, dataCentre } = row;
-    return { id, slots: Math.max(0, row.slots - doubtful), batchSize, dataCentre };
+    const surplus = ownership.surplus.get(id)?.size ?? 0;
+    return { id, slots: Math.max(0, row.slots - doubtful - surplus), batchSize, dataCentre };
   }
 
   function isDoubtful(ownership: Ownership, engine: string, name: string): boolean {
@@ -261,8 +265,12 @@
     names.value
       .filter((name) => isDoubtful(ownership, id, name))
       .forEach((name) => unloadDoubtful(ownership, id, name));
-    const adopted = names.value
-      .filter((name) => !isDoubtful(ownership, id, name))
+    const certain = names.value.filter((name) => !isDoubtful(ownership, id, name));
+    const surplus = getSurplus(ownership, id, certain);
+    ownership.surplus.set(id, new Set(surplus));
+    surplus.forEach((name) => evict(ownership, id, name));
+    const adopted = certain
+      .filter((name) => !surplus.includes(name))
       .map((name) => ({
         name,
         model: parseEngineName(name).model,
@@ -276,6 +284,22 @@
     ownership.failures.delete(id);
   }
 
+  /** A load that a former owner had ordered can end after this one has loaded the same model. */
+  function getSurplus(ownership: Ownership, id: string, names: string[]): string[] {
+    const kept = new Map<string, string>();
+    const {resident} = (ownership.pool.view.engines.get(id)!);
+    [...names]
+      .sort((left, right) => parseEngineName(right).fence - parseEngineName(left).fence)
+      .forEach((name) => {
+        const { model } = parseEngineName(name);
+        const known = resident.get(model)?.name;
+        if (known === name || !kept.has(model)) {
+          kept.set(model, known !== undefined && names.includes(known) ? known : name);
+        }
+      });
+    return names.filter((name) => kept.get(parseEngineName(name).model) !== name);
+  }
+
   async function unloadDoubtful(ownership: Ownership, engine: string, name: string): Promise<void> {
     if (await withdrawEverywhere(ownership, engine, name)) {
       const { address } = ownership.rows.get(engine)!;
@@ -502,6 +526,13 @@
     if (ownership.isEnded) {
       return;
     }
+    if (isOrdered && ownership.surplus.get(engine)?.delete(name)) {
+      const row = ownership.rows.get(engine)!;
+      ownership.pool.setEngine({
+        ...getEngineLimits(ownership, engine, row),
+        usable: !isLeaving(row.address),
+      });
+    }
     execute(ownership, ownership.pool.evicted(host.now(), engine, name, isOrdered));
     announceSoon(ownership);
   }
--- a/src/pool/createPool.ts
+++ b/src/pool/createPool.ts
@@ -456,19 +456,13 @@
     names: { model: string; name: string; pinnedUntil: number }[],
   ): PoolAction[] {
     const engine = engines.get(id)!;
-    [...engine.resident.keys()].forEach((model) => {
-      const slot = engine.resident.get(model)!;
-      const next = pendingLoads.get(`${id} ${slot.name}`);
-      pendingLoads.delete(`${id} ${slot.name}`);
-      if (slot.state === 'loading' && next === undefined) {
-        return;
-      }
-      if (!names.some(({ name }) => name === slot.name)) {
-        dropSlot(now, engine, model);
-      }
-    });
+    // Orders on their way end by themselves, as `loaded` or `evicted`.
+    [...engine.resident.values()]
+      .filter((slot) => slot.state === 'resident')
+      .filter((slot) => !names.some(({ name }) => name === slot.name))
+      .forEach((slot) => dropSlot(now, engine, slot.model));
     names.forEach(({ model, name, pinnedUntil }) => {
-      if (engine.resident.get(model)?.name === name) {
+      if (engine.resident.has(model)) {
         return;
       }
       const slot = createSlot(now, model);
--- a/test/scenario/createWorld.ts
+++ b/test/scenario/createWorld.ts
@@ -89,7 +89,7 @@
       freezeAtUnload: false,
       backlog: [],
       stopped: undefined,
-    } as never as Vm;
+    } as never;
     const gate = getGate(vm);
     const address = getAddress(name);
     const views = new Map(
@@ -292,7 +292,7 @@
     const key = createHash('sha256').update(CALLER_KEY).digest('hex');
     const work = (async () => {
       await put(`teams/${TEAM}`, { keys: [key] });
-      // eslint-disable-next-line no-restricted-syntax -- one after the other
+
       for (const id of engines.keys()) {
         await put(`upstreams/${id}`, {
           kind: 'engine',
@@ -310,7 +310,7 @@
         dataCentre: 'dc1',
         service: 'desk',
       });
-      // eslint-disable-next-line no-restricted-syntax -- one after the other
+
       for (const [name, versions] of adapters) {
         await put(`adapters/${name}`, getAdapterRow(versions));
       }
--- a/test/scenario/main.ts
+++ b/test/scenario/main.ts
@@ -11,7 +11,7 @@
     return 2;
   }
   let red = 0;
-  // eslint-disable-next-line no-restricted-syntax -- one after the other
+
   for (const file of files) {
     const verdict = await runScenario(parseScenario(file, readFileSync(file, 'utf8')));
     red += verdict.faults.length > 0 ? 1 : 0;
--- a/test/scenario/runScenario.ts
+++ b/test/scenario/runScenario.ts
@@ -31,7 +31,6 @@
   const aliases = new Map<string, string>();
   let vmCount = 0;
 
-  // eslint-disable-next-line no-restricted-syntax -- one after the other
   for (const step of steps) {
     try {
       await runStep(step);
