--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['node_modules', 'dist', 'docs'] },
+  { ignores: ['node_modules', 'dist', 'docs', '.cache'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -28,6 +28,7 @@
             'ReadableStream',
             'ReadableStreamDefaultController',
             'fetch',
+            'fs.cpSync',
           ],
         },
       ],
--- a/scripts/createTrial.ts
+++ b/scripts/createTrial.ts
@@ -3,7 +3,6 @@
 import { createHash } from 'node:crypto';
 import { request } from 'undici';
 
-const PLATFORM = '127.0.10.1:2379';
 const CLUSTER_KEY = 'trial-cluster-key-0001';
 const OPERATOR_TOKEN = 'trial-operator-token-1';
 const CALLER_KEY = 'trial-caller-key';
@@ -15,7 +14,17 @@
  * Lays out a trial: stand-ins and entry VMs as separate processes on loopback addresses, which are
  * ended by the ids of their processes.
  */
-export default function createTrial(options: { binary: string[]; vms: number; quiet?: boolean }) {
+export default function createTrial(options: {
+  binary: string[];
+  vms: number;
+  /** Third number of the loopback addresses, so that trials can stand side by side. */
+  network?: number;
+  /** Where VMs find the platform, if not at its own address: a relay that can be cut. */
+  platformFor?: (index: number) => string | undefined;
+}) {
+  const network = options.network ?? 10;
+  const platform = `127.0.${network}.1:2379`;
+  const service = `127.0.${network}.30:9100`;
   const children = new Map<string, ChildProcess>();
   const logs = new Map<string, string[]>();
 
@@ -38,15 +47,15 @@
   }
 
   function getVmHost(index: number): string {
-    return `127.0.20.${index}`;
+    return `127.0.${network + 1}.${index}`;
   }
 
   function startVm(index: number, environment: Record<string, string> = {}): ChildProcess {
     return spawnChild(`vm${index}`, [...options.binary, 'serve'], {
       BAOBABLINK_LISTEN_HOST: getVmHost(index),
       BAOBABLINK_DATA_CENTRE: `dc${1 + ((index - 1) % 3)}`,
-      BAOBABLINK_PLATFORM_URL: `http://${PLATFORM}`,
-      BAOBABLINK_VM_LIST_URL: `http://${PLATFORM}/vms`,
+      BAOBABLINK_PLATFORM_URL: `http://${options.platformFor?.(index) ?? platform}`,
+      BAOBABLINK_VM_LIST_URL: `http://${platform}/vms`,
       BAOBABLINK_CLUSTER_KEY: CLUSTER_KEY,
       BAOBABLINK_OPERATOR_TOKEN: OPERATOR_TOKEN,
       BAOBABLINK_HANDED_OUT_MS: '1500',
@@ -60,14 +69,14 @@
       role: 'entry',
       state: 'live',
     }));
-    spawnStandin('platform', 'keyValue', ['--listen', PLATFORM, '--vms', JSON.stringify(entries)]);
+    spawnStandin('platform', 'keyValue', ['--listen', platform, '--vms', JSON.stringify(entries)]);
     for (let index = 1; index <= ENGINE_COUNT; index += 1) {
       const checks = String(index === 1);
       const words = ['--listen', getEngineAddress(index), '--checks-fencing', checks];
       spawnStandin(`engine${index}`, 'engine', words);
     }
-    spawnStandin('service', 'service', ['--listen', '127.0.10.30:9100']);
-    await waitFor(async () => (await call('GET', `http://${PLATFORM}/vms`)).status === 200);
+    spawnStandin('service', 'service', ['--listen', service]);
+    await waitFor(async () => (await call('GET', `http://${platform}/vms`)).status === 200);
     entries.forEach((_, index) => startVm(index + 1));
     await waitFor(async () => {
       const ready = await Promise.all(
@@ -78,7 +87,7 @@
   }
 
   function getEngineAddress(index: number): string {
-    return `127.0.10.${10 + index}:9001`;
+    return `127.0.${network}.${10 + index}:9001`;
   }
 
   function getVmUrl(index: number): string {
@@ -129,7 +138,7 @@
     }
     await callAsOperator('PUT', `${url}/upstreams/desk1`, {
       kind: 'service',
-      address: '127.0.10.30:9100',
+      address: service,
       dataCentre: 'dc1',
       service: 'desk',
     });
@@ -198,7 +207,8 @@
     callAsOperator,
     getVmUrl,
     getEngineAddress,
-    platform: PLATFORM,
+    platform,
+    service,
     getLog: (name: string) => (logs.get(name) ?? []).join(''),
     getChild: (name: string) => children.get(name),
     operatorToken: OPERATOR_TOKEN,
--- a/test/matrix/mutations.ts
+++ b/test/matrix/mutations.ts
@@ -20,7 +20,7 @@
   {
     mechanism: 'fencing number in the engine-side name',
     file: 'src/owners/createOwners.ts',
-     
+
     from: '`${model}#${fence}`',
     to: 'model',
     scenario: 'paused-owner',
--- a/test/matrix/runMatrix.ts
+++ b/test/matrix/runMatrix.ts
@@ -23,11 +23,9 @@
 }> {
   const single: MatrixResult[] = [];
   const pairs: MatrixResult[] = [];
-   
+
   for (const step of matrixSteps) {
-     
     for (const fault of matrixFaults) {
-       
       for (const phase of PHASES) {
         single.push(await run(step, [{ fault, phase }]));
       }
