--- /dev/null
+++ b/bench/capacity/main.ts
@@ -0,0 +1,167 @@
+/** `npm run bench:capacity`: the slopes from which docs/CAPACITY.md works out the target. */
+import Message from '../../src/mesh/Message';
+import encodeFrame from '../../src/mesh/encodeFrame';
+import { decode } from 'cbor-x';
+import createPool from '../../src/pool/createPool';
+import createValuePolicy from '../../src/pool/createValuePolicy';
+import type PoolAction from '../../src/pool/PoolAction';
+import createTable from '../../src/table/createTable';
+import rankByRendezvous from '../../src/shared/rankByRendezvous';
+import createRandom from '../createRandom';
+
+const LENGTH_BYTES = 4;
+
+function print(...words: (string | number)[]): void {
+  process.stdout.write(`${words.join(' ')}\n`);
+}
+
+function timeEach(times: number, action: (index: number) => void): number {
+  for (let index = 0; index < times / 10; index += 1) {
+    action(index);
+  }
+  const startedAt = performance.now();
+  for (let index = 0; index < times; index += 1) {
+    action(index);
+  }
+  return ((performance.now() - startedAt) * 1000) / times;
+}
+
+function getHeapMegabytes(): number {
+  global.gc?.();
+  return process.memoryUsage().heapUsed / 1_048_576;
+}
+
+function measureTable(rows: number): void {
+  const before = getHeapMegabytes();
+  const table = createTable();
+  for (let index = 0; index < rows; index += 1) {
+    const value = JSON.parse(
+      JSON.stringify({
+        team: 'atelier',
+        baseModel: 'base',
+        versions: [{ name: 'v1', weight: 1 }],
+        currentVersion: 'v1',
+        weight: 1,
+        priority: 5,
+        class: 'interactive',
+        limits: {},
+      }),
+    );
+    const row = { kind: 'adapters' as const, name: `adapter-${index}`, revision: index + 1 };
+    table.apply({ ...row, edit: `0b5c2a9e-${index}`, value });
+  }
+  const megabytes = getHeapMegabytes() - before;
+  const first = performance.now();
+  table.getRows('adapters', '', '', 10);
+  print(
+    `table of ${rows} rows: ${megabytes.toFixed(1)} MB,`,
+    `${((megabytes * 1_048_576) / rows).toFixed(0)} bytes a row,`,
+    `first page ${(performance.now() - first).toFixed(1)} ms`,
+  );
+}
+
+function measureMessages(): void {
+  const heartbeat = (peers: number | undefined): Message => ({
+    kind: 'heartbeat',
+    state: 'live',
+    tableRevision: 123456,
+    newestRow: 123456,
+    confirmedAgeMs: 321.5,
+    inFlight: 17,
+    about:
+      peers === undefined
+        ? undefined
+        : {
+            incarnation: '0b5c2a9e-5b8c-4b0e-8d3e-1f2a3b4c5d6e',
+            dataCentre: 'dc1',
+            callerAddress: '10.20.30.40:8080',
+            heard: Array.from({ length: peers }, (_, index) => `10.20.30.${index}:7080`),
+          },
+  });
+  [undefined, 7, 55, 389].forEach((peers) => {
+    const frame = encodeFrame(heartbeat(peers));
+    const encodeMicros = timeEach(2000, () => encodeFrame(heartbeat(peers)));
+    const decodeMicros = timeEach(2000, () => Message.parse(decode(frame.subarray(LENGTH_BYTES))));
+    print(
+      `heartbeat naming ${peers ?? 'no'} VMs: ${frame.length} bytes,`,
+      `encode ${encodeMicros.toFixed(1)} us, decode and check ${decodeMicros.toFixed(1)} us`,
+    );
+  });
+  [6, 56].forEach((engines) => {
+    const message: Message = {
+      kind: 'residency',
+      pool: 'base',
+      fence: 12,
+      sequence: 345,
+      engines: Array.from({ length: engines }, (_, index) => ({
+        engine: `engine${index}`,
+        names: Array.from({ length: 8 }, (__, slot) => `adapter-${index * 8 + slot}@v1#12`),
+        running: 7,
+      })),
+    };
+    const frame = encodeFrame(message);
+    const decodeMicros = timeEach(1000, () => Message.parse(decode(frame.subarray(LENGTH_BYTES))));
+    print(
+      `residency of ${engines} engines: ${frame.length} bytes, decode ${decodeMicros.toFixed(1)} us`,
+    );
+  });
+}
+
+function measureDecisions(adapters: number, engines: number): void {
+  const random = createRandom(7);
+  const pool = createPool(
+    { loadsPerSecond: engines / 2, maxLoadsInFlight: 8 * engines, loadMs: 250, stallWeight: 0.5 },
+    createValuePolicy(),
+    (model) => model,
+  );
+  for (let index = 0; index < engines; index += 1) {
+    pool.setEngine({ id: `e${index}`, slots: 8, batchSize: 32, dataCentre: 'a', usable: true });
+  }
+  let now = 0;
+  let ids = 0;
+  const micros: number[] = [];
+  const running: string[] = [];
+  const decide = (action: () => PoolAction[]) => {
+    const startedAt = performance.now();
+    const actions = action();
+    micros.push((performance.now() - startedAt) * 1000);
+    actions.forEach((order) => {
+      if (order.kind === 'grant') {
+        running.push(order.ask.id);
+      } else if (order.kind === 'load') {
+        decide(() => pool.loaded(now, order.engine, order.name, true));
+      } else if (order.kind === 'evict') {
+        decide(() => pool.evicted(now, order.engine, order.name, true));
+      }
+    });
+  };
+  for (let round = 0; round < 12_000; round += 1) {
+    now += 1000 / engines;
+    ids += 1;
+    const rank = Math.floor(adapters ** random());
+    const ask = { id: String(ids), model: `a${rank}@v1`, team: 't', priority: 5, weight: 1 };
+    const times = { tokens: 100, arrivedAt: now, startBy: now + 8000 };
+    decide(() => pool.submit(now, { ...ask, ...times, class: 'interactive' }));
+    if (running.length > engines * 3) {
+      const id = running.shift()!;
+      decide(() => pool.finish(now, id));
+    }
+  }
+  const steady = micros.slice(micros.length >> 1).sort((left, right) => left - right);
+  const quantile = (share: number) => steady[Math.floor(share * steady.length)].toFixed(1);
+  print(
+    `decisions, ${adapters} adapters, ${engines} engines:`,
+    `P50 ${quantile(0.5)} us, P99 ${quantile(0.99)} us`,
+  );
+}
+
+measureTable(3000);
+measureTable(150_000);
+measureMessages();
+[300, 3000, 30_000, 150_000].forEach((adapters) => measureDecisions(adapters, 6));
+[6, 56].forEach((engines) => measureDecisions(3000, engines));
+[8, 56, 390].forEach((vms) => {
+  const names = Array.from({ length: vms }, (_, index) => `10.20.30.${index}:7080`);
+  const micros = timeEach(500, (index) => rankByRendezvous(`adapter-${index}`, names));
+  print(`rendezvous over ${vms} VMs: ${micros.toFixed(1)} us`);
+});
--- a/scripts/createTrial.ts
+++ b/scripts/createTrial.ts
@@ -19,6 +19,8 @@
   vms: number;
   /** Third number of the loopback addresses, so that trials can stand side by side. */
   network?: number;
+  /** More words for the engines' command lines. */
+  engineWords?: string[];
   /** Where VMs find the platform, if not at its own address: a relay that can be cut. */
   platformFor?: (index: number) => string | undefined;
 }) {
@@ -72,7 +74,9 @@
     spawnStandin('platform', 'keyValue', ['--listen', platform, '--vms', JSON.stringify(entries)]);
     for (let index = 1; index <= ENGINE_COUNT; index += 1) {
       const checks = String(index === 1);
-      const words = ['--listen', getEngineAddress(index), '--checks-fencing', checks];
+      const words = ['--listen', getEngineAddress(index), '--checks-fencing', checks].concat(
+        options.engineWords ?? [],
+      );
       spawnStandin(`engine${index}`, 'engine', words);
     }
     spawnStandin('service', 'service', ['--listen', service]);
@@ -121,7 +125,7 @@
   }
 
   /** Writes a team, the upstreams and adapters into the table. */
-  async function fillTable(adapters: number): Promise<void> {
+  async function fillTable(adapters: number, batchSize = 16): Promise<void> {
     const url = `${getVmUrl(1)}/v1/table`;
     const key = createHash('sha256').update(CALLER_KEY).digest('hex');
     await callAsOperator('PUT', `${url}/teams/atelier`, { keys: [key] });
@@ -132,7 +136,7 @@
         dataCentre: `dc${index}`,
         baseModel: 'base',
         slots: 8,
-        batchSize: 16,
+        batchSize,
         checksFencing: index === 1,
       });
     }
--- a/src/calls/createCalls.ts
+++ b/src/calls/createCalls.ts
@@ -47,10 +47,10 @@
  */
 export default function createCalls(
   host: CallsHost,
-  options: { address: string; keptSeconds: number },
+  options: { address: string; keptSeconds: number; maxBatch?: number },
 ) {
   const write = createWriteBatcher(host.keyValue, {
-    maxBatch: MAX_BATCH,
+    maxBatch: options.maxBatch ?? MAX_BATCH,
     maxCallsInFlight: MAX_CALLS_IN_FLIGHT,
   });
   const standings = new Map<string, Standing>();
--- a/src/completions/createCompletions.ts
+++ b/src/completions/createCompletions.ts
@@ -15,6 +15,8 @@
 const MAX_ATTEMPTS = 6;
 const MAX_EARLY_CHUNKS = 4096;
 const RETRY_AFTER_FAILURE_MS = 1000;
+/** How long the connection of a whole answer may stay open. */
+const LINGER_MS = 2000;
 
 interface CompletionsHost extends Time {
   engines: Engines;
@@ -154,7 +156,12 @@
         }
         isOpen = false;
         cancelTimer();
-        handle.cancel();
+        // A whole answer ends its own connection, which can then be used again.
+        if (end.kind === 'finished') {
+          host.setTimer(LINGER_MS, handle.cancel);
+        } else {
+          handle.cancel();
+        }
         resolve(end);
       };
       const watchSilence = (delayMs: number) => {
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -9,10 +9,12 @@
 type Heartbeat = Extract<Message, { kind: 'heartbeat' }>;
 
 const MEMBER_PREFIX = '/baobablink/members/';
-const HEARTBEAT_PAUSE_MS = 300;
+const HEARTBEAT_PAUSE_MS = 450;
+/** Each so many heartbeats tell all; the others only what changes often. */
+const BEATS_TO_WHOLE = 5;
 const DEAD_AFTER_MS = 1500;
 /** Shorter than `DEAD_AFTER_MS`, so that word of a dead VM is not passed on for long. */
-const TOLD_HEARD_MS = 900;
+const TOLD_HEARD_MS = 1000;
 const UNHEARD_BEFORE_REDIAL_MS = 1200;
 const REGISTRY_PAUSE_MS = 1000;
 const LIST_PAUSE_MS = 1000;
@@ -57,6 +59,8 @@
   let lease: string | undefined;
   let leaseValidUntil = -Infinity;
   let stops: (() => void)[] = [];
+  let beats = 0;
+  let lastHeard = '';
   const redialledAt = new Map<string, number>();
 
   function start(): void {
@@ -71,16 +75,16 @@
     const now = host.now();
     const addresses = getKnownAddresses();
     host.setPeers(addresses);
-    const message: Heartbeat = {
-      kind: 'heartbeat',
-      incarnation: options.incarnation,
-      state,
-      dataCentre: options.dataCentre,
-      callerAddress: options.callerAddress,
-      heard: getHeard(now),
-      ...host.describe(now),
-    };
-    addresses.forEach((address) => host.send(address, message));
+    const brief: Heartbeat = { kind: 'heartbeat', state, ...host.describe(now) };
+    const heard = getHeard(now);
+    const { incarnation, dataCentre, callerAddress } = options;
+    const whole = { ...brief, about: { incarnation, dataCentre, callerAddress, heard } };
+    beats += 1;
+    const isWhole = beats % BEATS_TO_WHOLE === 0 || heard.join() !== lastHeard;
+    lastHeard = heard.join();
+    addresses.forEach((address) =>
+      host.send(address, isWhole || !isHeard(now, address) ? whole : brief),
+    );
     members.forEach((member) => redialWhereSilent(now, member));
   }
 
@@ -171,18 +175,23 @@
 
   function receive(from: string, message: Heartbeat): void {
     const now = host.now();
+    const known = members.get(from);
+    const about = message.about ?? known;
+    if (!about) {
+      return;
+    }
     const member: Member = {
       address: from,
-      incarnation: message.incarnation,
+      incarnation: about.incarnation,
       state: message.state,
-      dataCentre: message.dataCentre,
-      callerAddress: message.callerAddress,
+      dataCentre: about.dataCentre,
+      callerAddress: about.callerAddress,
       heardAt: now,
       tableRevision: message.tableRevision,
       newestRow: message.newestRow,
       confirmedAgeMs: message.confirmedAgeMs,
       inFlight: message.inFlight,
-      heard: new Set(message.heard),
+      heard: new Set(about.heard),
     };
     members.set(from, member);
     redialWhereUnheard(now, member);
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -36,11 +36,18 @@
 const Message = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('heartbeat'),
-    incarnation: z.string(),
     state: z.enum(['live', 'leaving']),
-    dataCentre: z.string(),
-    /** `ip:port` at which callers reach the sender. */
-    callerAddress: z.string(),
+    /** What seldom changes; left out of most heartbeats to a VM that has it. */
+    about: z
+      .object({
+        incarnation: z.string(),
+        dataCentre: z.string(),
+        /** `ip:port` at which callers reach the sender. */
+        callerAddress: z.string(),
+        /** Addresses heard within the time after which word of a silent VM is not passed on. */
+        heard: z.array(z.string()),
+      })
+      .optional(),
     /** Edits up to here are all applied. */
     tableRevision: z.number(),
     /** Revision of the newest row held, which may be ahead of `tableRevision`. */
@@ -48,8 +55,6 @@
     /** Age of the last proof that the table is the platform's; undefined without one. */
     confirmedAgeMs: z.number().optional(),
     inFlight: z.number(),
-    /** Addresses heard within the time after which a silent member counts as dead. */
-    heard: z.array(z.string()),
   }),
   z.object({ kind: z.literal('rowsWanted'), since: z.number() }),
   z.object({
--- a/src/owners/createOwners.ts
+++ b/src/owners/createOwners.ts
@@ -26,7 +26,7 @@
 type EngineRow = Extract<UpstreamRow, { kind: 'engine' }>;
 
 const OWNER_PREFIX = '/baobablink/owners/';
-const OBSERVE_PAUSE_MS = 500;
+const OBSERVE_PAUSE_MS = 800;
 const TICK_PAUSE_MS = 100;
 const INSPECT_PAUSE_MS = 1000;
 const ANNOUNCE_PAUSE_MS = 200;
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -11,6 +11,8 @@
   slots: '8',
   'token-ms': '10',
   'extra-ms': '0.2',
+  // 'at-once' gives the first token on arrival, so that a bench sees no step of the batch.
+  'first-token': 'step',
   'load-ms': '250',
   'lag-ms': '500',
   'checks-fencing': 'false',
@@ -105,6 +107,9 @@
   });
   runs.add(run);
   response.on('close', () => runs.delete(run));
+  if (settings['first-token'] === 'at-once') {
+    stepRun(run);
+  }
 }
 
 async function load(name: string): Promise<[number, string]> {
