Read bodies from Node's own request

Cause, from the CPU profile: building a web Request with its streams took a third of an entry VM's time under short requests. Change: behind a Node server the body filter reads the incoming message itself.

--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -3,6 +3,7 @@
 import { createServer as createHttpServer } from 'node:http';
 import { createServer as createHttpsServer } from 'node:https';
 import { getRequestListener } from '@hono/node-server';
+import type { HttpBindings } from '@hono/node-server';
 import createEntry from '../entry/createEntry';
 import createLog from '../events/createLog';
 import createMesh from '../mesh/createMesh';
@@ -74,7 +75,9 @@
     },
   );
 
-  const listener = getRequestListener((request) => entry.fetch(request));
+  const listener = getRequestListener((request, bindings) =>
+    entry.fetch(request, { incoming: (bindings as HttpBindings).incoming }),
+  );
   const server =
     settings.tlsCert !== undefined && settings.tlsKey !== undefined
       ? createHttpsServer(
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -10,6 +10,7 @@
 import createResidency from '../owners/createResidency';
 import createTable from '../table/createTable';
 import createTableController from '../table/createTableController';
+import type EntryContext from '../requests/EntryContext';
 import type EntryHost from './EntryHost';
 import type EntryOptions from './EntryOptions';
 
@@ -169,7 +170,7 @@
     start,
     stop,
     receive,
-    fetch: (request: Request) => app.fetch(request),
+    fetch: (request: Request, bindings?: EntryContext['Bindings']) => app.fetch(request, bindings),
     isReady: () => tableController.isTrusted(host.now()) && !members.isLeaving(),
     metrics,
     getInFlight: () => inFlight,
--- a/src/requests/EntryContext.ts
+++ b/src/requests/EntryContext.ts
@@ -1,7 +1,10 @@
+import type { IncomingMessage } from 'node:http';
 import type Client from './Client';
 
 /** What the filters of a request pass on to those after them. */
 interface EntryContext {
+  /** Node's own request, where the filter chain runs behind a Node server. */
+  Bindings: { incoming?: IncomingMessage } | undefined;
   Variables: {
     requestId: string;
     receivedAt: number;
--- a/src/requests/createBodyFilter.ts
+++ b/src/requests/createBodyFilter.ts
@@ -3,6 +3,7 @@
 import type EntryContext from './EntryContext';
 import getRefusal from './getRefusal';
 import readBody from './readBody';
+import readIncoming from './readIncoming';
 
 /** Reads the body, and refuses one that is too large or too slow. */
 export default function createBodyFilter(
@@ -10,7 +11,14 @@
   limits: { maxBytes: number; timeoutMs: number },
 ): MiddlewareHandler<EntryContext> {
   return async (context, next) => {
-    const body = await readBody(time, context.req.raw, limits);
+    const incoming = context.env?.incoming;
+    const isOversize = Number(context.req.header('content-length') ?? 0) > limits.maxBytes;
+    if (isOversize) {
+      return getRefusal('oversize');
+    }
+    const body = incoming
+      ? await readIncoming(time, incoming, limits)
+      : await readBody(time, context.req.raw, limits);
     if (!body.ok) {
       return getRefusal(body.error);
     }
--- a/src/requests/readBody.ts
+++ b/src/requests/readBody.ts
@@ -7,9 +7,6 @@
   request: Request,
   limits: { maxBytes: number; timeoutMs: number },
 ): Promise<Outcome<string, 'oversize' | 'slowBody'>> {
-  if (Number(request.headers.get('content-length') ?? 0) > limits.maxBytes) {
-    return { ok: false, error: 'oversize' };
-  }
   if (!request.body) {
     return { ok: true, value: '' };
   }
--- /dev/null
+++ b/src/requests/readIncoming.ts
@@ -0,0 +1,37 @@
+import type { IncomingMessage } from 'node:http';
+import type Outcome from '../shared/Outcome';
+import type Time from '../shared/Time';
+
+/**
+ * Reads a body from Node's own request, within a limit of bytes and of time. This spares the web
+ * streams of `readBody`, which cost a third of a short request's processor time.
+ */
+export default function readIncoming(
+  time: Time,
+  incoming: IncomingMessage,
+  limits: { maxBytes: number; timeoutMs: number },
+): Promise<Outcome<string, 'oversize' | 'slowBody'>> {
+  return new Promise((resolve) => {
+    const parts: Buffer[] = [];
+    let size = 0;
+    const end = (outcome: Outcome<string, 'oversize' | 'slowBody'>) => {
+      cancelTimer();
+      incoming.off('data', take);
+      resolve(outcome);
+    };
+    const take = (chunk: Buffer) => {
+      parts.push(chunk);
+      size += chunk.length;
+      if (size > limits.maxBytes) {
+        incoming.resume();
+        end({ ok: false, error: 'oversize' });
+      }
+    };
+    const cancelTimer = time.setTimer(limits.timeoutMs, () =>
+      end({ ok: false, error: 'slowBody' }),
+    );
+    incoming.on('data', take);
+    incoming.once('end', () => end({ ok: true, value: Buffer.concat(parts).toString('utf8') }));
+    incoming.once('error', () => end({ ok: false, error: 'slowBody' }));
+  });
+}
