--- a/bench/capacity/main.ts
+++ b/bench/capacity/main.ts
@@ -93,6 +93,7 @@
       pool: 'base',
       fence: 12,
       sequence: 345,
+      isWhole: true,
       engines: Array.from({ length: engines }, (_, index) => ({
         engine: `engine${index}`,
         names: Array.from({ length: 8 }, (__, slot) => `adapter-${index * 8 + slot}@v1#12`),
@@ -135,7 +136,7 @@
       }
     });
   };
-  for (let round = 0; round < 12_000; round += 1) {
+  const playRound = () => {
     now += 1000 / engines;
     ids += 1;
     const rank = Math.floor(adapters ** random());
@@ -146,7 +147,8 @@
       const id = running.shift()!;
       decide(() => pool.finish(now, id));
     }
-  }
+  };
+  Array.from({ length: 12_000 }).forEach(playRound);
   const steady = micros.slice(micros.length >> 1).sort((left, right) => left - right);
   const quantile = (share: number) => steady[Math.floor(share * steady.length)].toFixed(1);
   print(
--- a/bench/claims/main.ts
+++ b/bench/claims/main.ts
@@ -78,7 +78,7 @@
 
 async function main(): Promise<void> {
   process.stdout.write('offered/s  alone: done/s, P50 ms  together: done/s, P50 ms\n');
-  // eslint-disable-next-line no-restricted-syntax -- one after the other
+
   for (const offered of OFFERED) {
     const alone = await measure(offered, 1);
     const together = await measure(offered, 64);
--- a/bench/path/main.ts
+++ b/bench/path/main.ts
@@ -18,6 +18,7 @@
 const STREAM_TOKENS = 40;
 const STREAM_CLIENTS = 192;
 const IDLE_SECONDS = 10;
+const SETTLE_MS = 8000;
 const CLOCK_TICKS_PER_SECOND = 100;
 
 const trial = createTrial({
@@ -54,12 +55,10 @@
 
 /** Sends rounds of `width` requests at a time, straight and through in turn. */
 async function compare(straight: [string, string], through: [string, string], stream: boolean) {
-  // eslint-disable-next-line no-restricted-syntax -- one after the other
   for (const width of [1, 64]) {
     const rounds = Math.ceil((ROUNDS * 4) / width);
     const times = { straight: [] as number[], through: [] as number[] };
     for (let round = 0; round < rounds + WARM_UP / width; round += 1) {
-      // eslint-disable-next-line no-restricted-syntax -- one after the other
       for (const [name, [url, model]] of [
         ['straight', straight],
         ['through', through],
@@ -111,18 +110,46 @@
   return Number(line![1]) / 1024;
 }
 
+async function getCounters(index: number): Promise<Map<string, number>> {
+  const { text } = await trial.call('GET', `${trial.getVmUrl(index)}/metrics`);
+  const wanted = text.split('\n').filter((line) => /^baobablink_(mesh_sent|key_value)/.test(line));
+  return new Map(wanted.map((line) => [line.split(' ')[0], Number(line.split(' ')[1])]));
+}
+
+function getSumPerSecond(
+  name: string,
+  before: Map<string, number>,
+  after: Map<string, number>,
+): number {
+  const sum = (counters: Map<string, number>) =>
+    [...counters]
+      .filter(([key]) => key.includes(name))
+      .reduce((total, [, value]) => total + value, 0);
+  return (sum(after) - sum(before)) / IDLE_SECONDS;
+}
+
 async function measureIdle(): Promise<void> {
   const pids = Array.from({ length: VMS }, (_, index) => trial.getChild(`vm${index + 1}`)!.pid!);
+  await new Promise((resolve) => {
+    setTimeout(resolve, SETTLE_MS);
+  });
+  const countersBefore = await Promise.all(pids.map((_, index) => getCounters(index + 1)));
   const before = pids.map(getCpuSeconds);
   await new Promise((resolve) => {
     setTimeout(resolve, IDLE_SECONDS * 1000);
   });
   const shares = pids.map((pid, index) => (getCpuSeconds(pid) - before[index]) / IDLE_SECONDS);
+  const countersAfter = await Promise.all(pids.map((_, index) => getCounters(index + 1)));
+  const rates = (name: string) =>
+    pids.map((_, index) => getSumPerSecond(name, countersBefore[index], countersAfter[index]));
   const memory = pids.map(getMegabytes);
   const most = (values: number[]) => Math.max(...values);
   print(
-    `idle VM, ${ADAPTERS} rows, ${VMS} VMs: at most ${(100 * most(shares)).toFixed(1)} % of a core,`,
-    `${most(memory).toFixed(0)} MB resident`,
+    `idle VM, ${ADAPTERS} rows, ${VMS} VMs: median ${(100 * getQuantile(shares, 0.5)).toFixed(1)} %,`,
+    `at most ${(100 * most(shares)).toFixed(1)} % of a core,`,
+    `${most(memory).toFixed(0)} MB resident,`,
+    `sends at most ${most(rates('mesh_sent')).toFixed(0)} bytes/s to other VMs,`,
+    `${most(rates('key_value')).toFixed(1)} platform calls/s`,
   );
 }
 
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -39,4 +39,8 @@
     files: ['src/main.ts', 'src/cli/**', 'scripts/**', 'standins/**', 'bench/**', 'test/**'],
     rules: { 'n/no-process-exit': 'off', 'n/no-sync': 'off' },
   },
+  {
+    files: ['scripts/**', 'bench/**', 'test/**'],
+    rules: { 'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }] },
+  },
 );
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -28,6 +28,7 @@
   const mesh = createMesh(
     {
       onMessage: (from, message) => entry.receive(from, message),
+      onSent: (kind, bytes) => entry.metrics.meshBytes.inc({ kind }, bytes),
       onLinkEnd: (peer, reason) => {
         entry.metrics.linkEnds.inc({ reason });
         log('linkEnded', { peer, reason });
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -109,6 +109,8 @@
     fence: z.number(),
     /** Rises with every residency or withdrawal of one fence; an older message is dropped. */
     sequence: z.number(),
+    /** Whether all engines of the pool are named, or just those that have changed. */
+    isWhole: z.boolean(),
     engines: z.array(EngineResidency),
   }),
   /** Carries a message between two VMs that can't reach each other but both reach the receiver. */
--- a/src/mesh/createMesh.ts
+++ b/src/mesh/createMesh.ts
@@ -37,6 +37,7 @@
 interface MeshHost {
   onMessage(from: string, message: Message): void;
   onLinkEnd(peer: string, reason: LinkEnd): void;
+  onSent(kind: Message['kind'], bytes: number): void;
 }
 
 /**
@@ -217,7 +218,9 @@
       endLink(to, 'queueFull');
       return false;
     }
-    link.socket.write(encodeFrame(message));
+    const frame = encodeFrame(message);
+    link.socket.write(frame);
+    host.onSent(message.kind, frame.length);
     return true;
   }
 
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -24,6 +24,7 @@
     retries: counter('retries_total', 'Retries, by reason.', ['reason']),
     droppedChunks: counter('dropped_chunks_total', 'Chunks not passed on, by reason.', ['reason']),
     linkEnds: counter('link_ends_total', 'Ended links to entry VMs, by reason.', ['reason']),
+    meshBytes: counter('mesh_sent_bytes_total', 'Bytes sent to entry VMs.', ['kind']),
     keyValueCalls: counter('key_value_calls_total', 'Calls to the key-value service.', ['call']),
     loads: counter('loads_total', 'Loads ordered, by outcome.', ['outcome']),
     evictions: counter('evictions_total', 'Evictions ordered, by outcome.', ['outcome']),
--- a/src/owners/createOwners.ts
+++ b/src/owners/createOwners.ts
@@ -29,8 +29,8 @@
 const OBSERVE_PAUSE_MS = 800;
 const TICK_PAUSE_MS = 100;
 const INSPECT_PAUSE_MS = 1000;
-const ANNOUNCE_PAUSE_MS = 200;
-const ANNOUNCE_REPEAT_MS = 2000;
+const ANNOUNCE_PAUSE_MS = 1000;
+const ANNOUNCE_WHOLE_MS = 10_000;
 const WITHDRAW_TIMEOUT_MS = 1000;
 const LOADS_BLOCKED_AFTER_CLAIM_MS = 1000;
 const ADOPTED_KEPT_MS = 1500;
@@ -62,7 +62,9 @@
   /** Adapters that an engine holds beside the pool's own of the same model, to be unloaded. */
   surplus: Map<string, Set<string>>;
   sequence: number;
-  announcedAt: number;
+  wholeAnnouncedAt: number;
+  /** What was last announced of each engine. */
+  announced: Map<string, string>;
   isAnnouncing: boolean;
   isEnded: boolean;
   recordWrites: Promise<unknown>;
@@ -122,6 +124,8 @@
       records.set(entry.key.slice(OWNER_PREFIX.length), { record, revision: entry.modRevision });
     });
     const pools = getPoolRows();
+    // The store is shared by all pools: each owner keeps to an equal part of its rate.
+    owned.forEach(({ pool }) => pool.setLoadRate(options.pool.loadsPerSecond / pools.size));
     await Promise.all([...pools.keys()].map((name) => reconcile(name, pools.get(name)!)));
     owned.forEach((ownership) => {
       if (!pools.has(ownership.name)) {
@@ -213,7 +217,8 @@
       failures: new Map(),
       surplus: new Map(),
       sequence: 0,
-      announcedAt: -Infinity,
+      wholeAnnouncedAt: -Infinity,
+      announced: new Map(),
       isAnnouncing: false,
       isEnded: false,
       recordWrites: Promise.resolve(),
@@ -399,7 +404,7 @@
       metrics.pins.set({ pool: ownership.name }, ownership.pool.getGrantCount());
       metrics.queue.set({ pool: ownership.name }, ownership.pool.getWaitingCount());
       metrics.loadsInFlight.set({ pool: ownership.name }, ownership.pool.getLoadsInFlight());
-      if (now - ownership.announcedAt >= ANNOUNCE_REPEAT_MS) {
+      if (now - ownership.wholeAnnouncedAt >= ANNOUNCE_WHOLE_MS) {
         announce(ownership);
       }
     });
@@ -693,20 +698,27 @@
     if (ownership.isEnded) {
       return;
     }
-    ownership.announcedAt = host.now();
+    const now = host.now();
+    const isWhole = now - ownership.wholeAnnouncedAt >= ANNOUNCE_WHOLE_MS;
+    ownership.wholeAnnouncedAt = isWhole ? now : ownership.wholeAnnouncedAt;
     ownership.sequence += 1;
-    const engines = [...ownership.pool.view.engines.values()].map((engine) => {
+    const all = [...ownership.pool.view.engines.values()].map((engine) => {
       const names = [...engine.resident.values()]
         .filter((slot) => slot.state === 'resident' && engine.usable)
         .map((slot) => slot.name);
       metrics.residents.set({ engine: engine.id }, names.length);
       return { engine: engine.id, names, running: engine.running };
     });
+    const engines = all.filter(
+      ({ engine, names }) => isWhole || ownership.announced.get(engine) !== names.join(),
+    );
+    all.forEach(({ engine, names }) => ownership.announced.set(engine, names.join()));
     const message: Message = {
       kind: 'residency',
       pool: ownership.name,
       fence: ownership.fence,
       sequence: ownership.sequence,
+      isWhole,
       engines,
     };
     residency.announce(options.address, message);
--- a/src/owners/createResidency.ts
+++ b/src/owners/createResidency.ts
@@ -24,12 +24,13 @@
     if (isOutdated(message)) {
       return false;
     }
-    pools.set(message.pool, {
-      owner: from,
-      fence: message.fence,
-      sequence: message.sequence,
-      engines: message.engines,
-    });
+    const { fence, sequence, engines, isWhole } = message;
+    const known = pools.get(message.pool);
+    const kept =
+      isWhole || !known
+        ? []
+        : known.engines.filter(({ engine }) => !engines.some((entry) => entry.engine === engine));
+    pools.set(message.pool, { owner: from, fence, sequence, engines: [...kept, ...engines] });
     return true;
   }
 
--- a/src/table/createTableController.ts
+++ b/src/table/createTableController.ts
@@ -24,6 +24,8 @@
 const CONFIRMED_FOR_MS = 4000;
 const EDIT_CHECK_TRIES = 4;
 const EDIT_CHECK_PAUSE_MS = 150;
+const RATE_TRIES = 6;
+const RATE_PAUSE_MS = 250;
 
 interface TableControllerHost extends Time {
   keyValue: KeyValue;
@@ -165,7 +167,7 @@
   /** Makes edits in one transaction: all are accepted or none. */
   async function edit(edits: TableEdit[]): Promise<Outcome<Row[], TableError>> {
     const id = randomUUID();
-    const answer = await host.keyValue.transact(getTransaction(edits, id));
+    const answer = await transactWithinRate(getTransaction(edits, id));
     if (answer.ok && answer.value.succeeded) {
       return { ok: true, value: takeAccepted(edits, id, answer.value.revision) };
     }
@@ -179,6 +181,26 @@
     return findOutOwnEdit(edits, id);
   }
 
+  /** Waits and tries again where the service refuses a call for its rate. */
+  async function transactWithinRate(transaction: KeyValueTransaction) {
+    let answer = await host.keyValue.transact(transaction);
+    for (
+      let tries = 1;
+      tries < RATE_TRIES && !answer.ok && answer.error.kind === 'rateLimited';
+      tries += 1
+    ) {
+      await pause(RATE_PAUSE_MS);
+      answer = await host.keyValue.transact(transaction);
+    }
+    return answer;
+  }
+
+  function pause(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      host.setTimer(delayMs, resolve);
+    });
+  }
+
   /** After a lost answer: the row tells by the edit's identifier whether it took effect. */
   async function findOutOwnEdit(
     edits: TableEdit[],
@@ -186,9 +208,7 @@
   ): Promise<Outcome<Row[], TableError>> {
     const key = getRowKey(edits[0].kind, edits[0].name);
     for (let tries = 0; tries < EDIT_CHECK_TRIES; tries += 1) {
-      await new Promise<void>((resolve) => {
-        host.setTimer(EDIT_CHECK_PAUSE_MS, resolve);
-      });
+      await pause(EDIT_CHECK_PAUSE_MS);
       const answer = await host.keyValue.range({ key });
       if (answer.ok) {
         const [entry] = answer.value.entries;
--- /dev/null
+++ b/test/unit/settings.test.ts
@@ -0,0 +1,39 @@
+import getShownSettings from '../../src/settings/getShownSettings';
+import readSettings from '../../src/settings/readSettings';
+import compareBaseline from './compareBaseline';
+
+const WHOLE = {
+  listenHost: '127.0.0.1',
+  dataCentre: 'dc1',
+  platformUrl: 'http://127.0.0.1:2379',
+  vmListUrl: 'http://127.0.0.1:2379/vms',
+  clusterKey: 'a-secret-that-is-long',
+};
+
+const cases: [Record<string, unknown>, Record<string, string>][] = [
+  [WHOLE, {}],
+  [{ ...WHOLE, port: '99999' }, {}],
+  [
+    { ...WHOLE, port: undefined },
+    { BAOBABLINK_PORT: 'x', BAOBABLINK_MESH_PORT: '0' },
+  ],
+  [{ ...WHOLE, clusterKey: 'short', stallWeight: '2', logLevel: 'loud' }, {}],
+  [{}, {}],
+  [{ ...WHOLE, tlsCert: '/some/file' }, {}],
+  [
+    { ...WHOLE, seeds: '10.0.0.1:7080,10.0.0.2:7080' },
+    { BAOBABLINK_OPERATOR_TOKEN: 'x'.repeat(16) },
+  ],
+];
+
+describe('settings', () => {
+  it('are read, refused and shown as recorded', () => {
+    const lines = cases.flatMap(([flags, environment], index) => {
+      const settings = readSettings(flags, environment);
+      return settings.ok
+        ? [`case ${index}: ${JSON.stringify(getShownSettings(settings.value))}`]
+        : [`case ${index}: refused`, ...settings.error.map((fault) => `  ${fault}`)];
+    });
+    compareBaseline('settings', lines);
+  });
+});
