--- a/bench/claims/main.ts
+++ b/bench/claims/main.ts
@@ -46,6 +46,8 @@
         nonces += 1;
         return String(nonces);
       },
+      getTimeOfDay: time.now,
+      isSweeper: () => false,
       log: () => {},
     },
     { address: 'vm1', keptSeconds: 3600, maxBatch },
--- a/src/calls/CallRecord.ts
+++ b/src/calls/CallRecord.ts
@@ -6,6 +6,8 @@
   nonce: z.string(),
   /** The entry VM that claimed the call. */
   by: z.string(),
+  /** Time of day of the claim, in milliseconds. */
+  at: z.number(),
   /** Digest of method, path and body: a key stands for one call. */
   fingerprint: z.string(),
   state: z.discriminatedUnion('kind', [
--- a/src/calls/createCalls.ts
+++ b/src/calls/createCalls.ts
@@ -1,6 +1,9 @@
 import type Log from '../events/Log';
 import type Message from '../mesh/Message';
 import type KeyValue from '../platform/KeyValue';
+import type KeyValueEntry from '../platform/KeyValueEntry';
+import getPrefixEnd from '../platform/getPrefixEnd';
+import createRepeater from '../shared/createRepeater';
 import type Outcome from '../shared/Outcome';
 import type Time from '../shared/Time';
 import type RequestError from '../completions/RequestError';
@@ -18,12 +21,18 @@
 const SETTLE_PAUSE_MS = 1000;
 const IN_PROGRESS_RETRY_MS = 1000;
 const OUTAGE_RETRY_MS = 5000;
-const LEASE_REUSED_SHARE = 0.25;
+const SWEEP_PAUSE_MS = 600_000;
+const SWEEP_PAGE_RECORDS = 500;
+const SWEEP_DELETES_PER_CALL = 60;
 
 interface CallsHost extends Time {
   keyValue: KeyValue;
   send(to: string, message: Message): boolean;
   getNonce(): string;
+  /** The time of day in milliseconds, by which records are kept across VMs. */
+  getTimeOfDay(): number;
+  /** Whether this VM is the one that removes old records. */
+  isSweeper(): boolean;
   log: Log;
 }
 
@@ -55,7 +64,7 @@
   });
   const standings = new Map<string, Standing>();
   const inquiries = new Map<string, (status: 'neverSent' | 'maybeSent') => void>();
-  let lease: { id: string; grantedAt: number } | undefined;
+  let stopSweeping = () => {};
   let unsettled = 0;
 
   async function run(call: Call): Promise<CallOutcome> {
@@ -83,14 +92,11 @@
     const record: CallRecord = {
       nonce,
       by: options.address,
+      at: host.getTimeOfDay(),
       fingerprint: call.fingerprint,
       state: { kind: 'claimed' },
     };
-    const keepLease = await tryGetLease();
-    if (keepLease === undefined) {
-      return getOutage();
-    }
-    const put = { kind: 'put', key, value: JSON.stringify(record), lease: keepLease } as const;
+    const put = { kind: 'put', key, value: JSON.stringify(record) } as const;
     const answer = await write({
       compare: [{ key, modRevision: ifRevision }],
       writes: [put],
@@ -235,15 +241,11 @@
     unsettled += 1;
     let isDone = false;
     while (!isDone) {
-      const keepLease = await tryGetLease();
-      if (keepLease !== undefined) {
-        const put = { kind: 'put', key, value: JSON.stringify(record), lease: keepLease } as const;
-        const compare = [{ key, modRevision: revision }];
-        const answer = await write({ compare, writes: [put], otherwiseRead: [] });
-        // A failed comparison means that an earlier try took effect: no other VM writes a sent
-        // claim.
-        isDone = answer.ok;
-      }
+      const put = { kind: 'put', key, value: JSON.stringify(record) } as const;
+      const compare = [{ key, modRevision: revision }];
+      const answer = await write({ compare, writes: [put], otherwiseRead: [] });
+      // A failed comparison means that an earlier try took effect: no other VM writes a sent claim.
+      isDone = answer.ok;
       if (!isDone) {
         await pause();
       }
@@ -287,22 +289,60 @@
     });
   }
 
-  /** Records share leases that are never prolonged: each is kept at least `keptSeconds`. */
-  async function tryGetLease(): Promise<string | undefined> {
-    const now = host.now();
-    const reusedMs = options.keptSeconds * 1000 * LEASE_REUSED_SHARE;
-    if (!lease || now - lease.grantedAt > reusedMs) {
-      const ttlSeconds = Math.ceil(options.keptSeconds * (1 + LEASE_REUSED_SHARE));
-      const granted = await host.keyValue.grantLease(ttlSeconds);
-      if (!granted.ok) {
-        return undefined;
+  /**
+   * Removes records whose time is over. Records hang on no lease: one that lapsed early would let a
+   * call run twice.
+   */
+  async function sweep(): Promise<void> {
+    if (!host.isSweeper()) {
+      return;
+    }
+    const keptSince = host.getTimeOfDay() - options.keptSeconds * 1000;
+    let key = CALL_PREFIX;
+    let more = true;
+    while (more) {
+      const page = await host.keyValue.range({
+        key,
+        rangeEnd: getPrefixEnd(CALL_PREFIX),
+        limit: SWEEP_PAGE_RECORDS,
+      });
+      if (!page.ok) {
+        return;
       }
-      lease = { id: granted.value, grantedAt: now };
+      const { entries } = page.value;
+      await remove(
+        entries.filter((entry) => CallRecord.parse(JSON.parse(entry.value)).at < keptSince),
+      );
+      more = page.value.more && entries.length > 0;
+      key = more ? `${entries.at(-1)!.key}\0` : key;
     }
-    return lease.id;
   }
 
-  return { run, receive, getUnsettledCount: () => unsettled };
+  async function remove(entries: KeyValueEntry[]): Promise<void> {
+    for (let first = 0; first < entries.length; first += SWEEP_DELETES_PER_CALL) {
+      const part = entries.slice(first, first + SWEEP_DELETES_PER_CALL);
+      await host.keyValue.transactAll(
+        part.map(({ key, modRevision }) => ({
+          compare: [{ key, modRevision }],
+          writes: [{ kind: 'delete', key }],
+          otherwiseRead: [],
+        })),
+      );
+    }
+  }
+
+  function start(): void {
+    stopSweeping = createRepeater(host, SWEEP_PAUSE_MS, sweep);
+  }
+
+  return {
+    run,
+    receive,
+    start,
+    stop: () => stopSweeping(),
+    sweep,
+    getUnsettledCount: () => unsettled,
+  };
 }
 
 /** The key may stand for a call that ran earlier, so this is not "not run". */
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -60,6 +60,7 @@
       redial: mesh.redial,
       setPeers: mesh.setPeers,
       random: Math.random,
+      getTimeOfDay: Date.now,
       getNonce: randomUUID,
       log,
     },
--- a/src/entry/EntryHost.ts
+++ b/src/entry/EntryHost.ts
@@ -17,6 +17,8 @@
   setPeers(addresses: string[]): void;
   /** A number from 0 to 1. */
   random(): number;
+  /** The time of day in milliseconds; the same on all VMs but for the skew of their clocks. */
+  getTimeOfDay(): number;
   /** A text that no other call, here or elsewhere, ever gets. */
   getNonce(): string;
   log: Log;
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -8,6 +8,7 @@
 import createMetrics from '../metrics/createMetrics';
 import createOwners from '../owners/createOwners';
 import createResidency from '../owners/createResidency';
+import rankByRendezvous from '../shared/rankByRendezvous';
 import createTable from '../table/createTable';
 import createTableController from '../table/createTableController';
 import type EntryContext from '../requests/EntryContext';
@@ -74,7 +75,15 @@
     { address },
   );
   const completions = createCompletions(host, { places, metrics }, options);
-  const calls = createCalls({ ...host, send }, { address, keptSeconds: options.callKeptSeconds });
+  const calls = createCalls(
+    { ...host, send, isSweeper },
+    { address, keptSeconds: options.callKeptSeconds },
+  );
+
+  /** One VM removes old records of calls: the first of those that serve. */
+  function isSweeper(): boolean {
+    return rankByRendezvous('calls', members.getServing(host.now()))[0] === address;
+  }
 
   /** Counts a request in progress; the answer ends it, once. */
   function enter(): () => void {
@@ -138,6 +147,7 @@
     tableController.start();
     owners.start();
     places.start();
+    calls.start();
   }
 
   /**
@@ -155,6 +165,7 @@
     }
     owners.stop();
     places.stop();
+    calls.stop();
     tableController.stop();
     await members.stop();
     return inFlight;
--- a/test/scenario/createFakeEngine.ts
+++ b/test/scenario/createFakeEngine.ts
@@ -21,7 +21,7 @@
 /** A fake of one engine with its faults. It notes what the product must never do to it. */
 export default function createFakeEngine(
   time: VirtualTime,
-  options: { slots: number; checksFencing: boolean },
+  options: { slots: number; checksFencing: boolean; onLoad(now: number): void },
 ) {
   const faults = {
     failLoads: 0,
@@ -73,6 +73,7 @@
       return;
     }
     loading.add(name);
+    options.onLoad(time.now());
     const startedBoot = boot;
     time.setTimer(faults.loadMs, () => {
       loading.delete(name);
--- a/test/scenario/createWorld.ts
+++ b/test/scenario/createWorld.ts
@@ -52,6 +52,9 @@
   const list = new Map<string, VirtualMachine>();
   const results = new Map<string, Result | undefined>();
   const events: string[] = [];
+  const loadStarts: number[] = [];
+  /** Base models of engines and adapters, by name. */
+  const bases = new Map<string, string>();
   const engineSlots = new Map<string, number>();
   let listLagMs = 0;
   let nonces = 0;
@@ -119,8 +122,7 @@
         keyValue: platform.createKeyValue(name, gate),
         tryGetList: () =>
           new Promise((resolve) => {
-            const seen = [...list.values()];
-            time.setTimer(listLagMs + 1, () => gate.pass(() => resolve(seen)));
+            time.setTimer(1, () => gate.pass(() => resolve([...list.values()])));
           }),
         engines: engineHost,
         services: services.createServices(gate),
@@ -128,6 +130,7 @@
         redial: (to) => links.redial(address, to),
         setPeers: () => {},
         random: () => 0.5,
+        getTimeOfDay: time.now,
         getNonce: () => {
           nonces += 1;
           return `n${nonces}`;
@@ -156,7 +159,7 @@
       },
     );
     vms.set(name, vm);
-    list.set(name, { address, role: 'entry', state: 'live' });
+    changeList(name, { address, role: 'entry', state: 'live' });
     vm.entry.start();
   }
 
@@ -164,8 +167,25 @@
     return `127.0.0.${10 + [...engines.keys()].indexOf(id)}:9001`;
   }
 
-  function addEngine(id: string, options: { slots: number; checksFencing: boolean }): void {
-    engines.set(id, createFakeEngine(time, options));
+  /** Changes the list of VMs; the change shows only after its lag. */
+  function changeList(name: string, machine: VirtualMachine | undefined): void {
+    time.setTimer(listLagMs, () => {
+      if (machine) {
+        list.set(name, machine);
+      } else {
+        list.delete(name);
+      }
+    });
+  }
+
+  function addEngine(
+    id: string,
+    options: { slots: number; checksFencing: boolean },
+    base = 'base',
+  ): void {
+    const onLoad = (now: number) => loadStarts.push(now);
+    engines.set(id, createFakeEngine(time, { ...options, onLoad }));
+    bases.set(id, base);
     engineSlots.set(id, options.slots);
   }
 
@@ -277,11 +297,14 @@
       );
   }
 
-  function getAdapterRow(versions: string[]) {
+  function getAdapterRow(name: string, versions: string[]) {
     return {
       team: TEAM,
-      baseModel: 'base',
-      versions: versions.map((name, index) => ({ name, weight: index === 0 ? 1 : 0 })),
+      baseModel: bases.get(name) ?? 'base',
+      versions: versions.map((version, index) => ({
+        name: version,
+        weight: index === 0 ? 1 : 0,
+      })),
       currentVersion: versions[0],
     };
   }
@@ -298,7 +321,7 @@
           kind: 'engine',
           address: getEngineAddress(id),
           dataCentre: 'dc1',
-          baseModel: 'base',
+          baseModel: bases.get(id),
           slots: engineSlots.get(id),
           batchSize: 8,
           checksFencing: checks.get(id),
@@ -312,7 +335,7 @@
       });
 
       for (const [name, versions] of adapters) {
-        await put(`adapters/${name}`, getAdapterRow(versions));
+        await put(`adapters/${name}`, getAdapterRow(name, versions));
       }
     })();
     await Promise.race([work, time.advance(3000)]);
@@ -322,7 +345,7 @@
   function kill(name: string): void {
     const vm = vms.get(name)!;
     vm.isDead = true;
-    list.delete(name);
+    changeList(name, undefined);
   }
 
   function thaw(name: string): void {
@@ -333,21 +356,31 @@
 
   function stop(name: string): void {
     const vm = vms.get(name)!;
-    list.set(name, { address: getAddress(name), role: 'entry', state: 'leaving' });
+    changeList(name, { address: getAddress(name), role: 'entry', state: 'leaving' });
     vm.entry.stop().then((cut) => {
       vm.stopped = cut;
       vm.isDead = true;
-      list.delete(name);
+      changeList(name, undefined);
     });
   }
 
+  /** The most loads that began within any second. */
+  function getMostLoadsInOneSecond(): number {
+    const counts = loadStarts.map(
+      (start) => loadStarts.filter((other) => other <= start && other > start - 1000).length,
+    );
+    return Math.max(0, ...counts);
+  }
+
   return {
+    bases,
+    getMostLoadsInOneSecond,
     time,
     platform,
     services,
     engines,
     vms,
-    list,
+    changeList,
     links,
     results,
     events,
--- a/test/scenario/grammar.ts
+++ b/test/scenario/grammar.ts
@@ -3,6 +3,7 @@
   'vms COUNT',
   'engine ENGINE slots COUNT checks|ignores',
   'adapter ADAPTER VERSION…',
+  'base MODEL',
   'start',
   'request ID ADAPTER[@VERSION] at VM [tokens N] [deadline MS]',
   'book ID key KEY at VM',
@@ -23,7 +24,7 @@
   'engine ENGINE fail COUNT',
   'engine ENGINE slow DURATION',
   'engine ENGINE mute TOKEN',
-  'service down|up',
+  'service down|up|leaving',
   'service lose COUNT',
   'list lag DURATION',
   'expect ID answered [ADAPTER@VERSION]',
@@ -35,6 +36,7 @@
   'expect row ADAPTER weight N at VM',
   'expect in force within DURATION',
   'expect starts on leaving ENGINE COUNT',
+  'expect at most COUNT loads a second',
   'expect VM stopped',
 ];
 
--- a/test/scenario/runScenario.ts
+++ b/test/scenario/runScenario.ts
@@ -29,6 +29,7 @@
   const leavingStarts = new Map<string, number>();
   const requestVms = new Map<string, string>();
   const aliases = new Map<string, string>();
+  let base = 'base';
   let vmCount = 0;
 
   for (const step of steps) {
@@ -72,11 +73,15 @@
         ['engine', P.string, 'slots', P.string, P.union('checks', 'ignores')],
         ([, id, , slots, kind]) => {
           checks.set(id, kind === 'checks');
-          world.addEngine(id, { slots: n(slots), checksFencing: kind === 'checks' });
+          world.addEngine(id, { slots: n(slots), checksFencing: kind === 'checks' }, base);
         },
       )
       .with(['adapter', P.string, P.string, ...P.array(P.string)], ([, name, ...versions]) => {
         adapters.set(name, versions);
+        world.bases.set(name, base);
+      })
+      .with(['base', P.string], ([, name]) => {
+        base = name;
       })
       .with(['start'], start)
       .with(
@@ -141,7 +146,7 @@
       .with(['engine', P.string, 'leaving'], ([, id]) => {
         const address = world.getEngineAddress(need(id));
         engines.get(id)!.faults.isLeaving = true;
-        world.list.set(id, { address, role: 'upstream', state: 'leaving' });
+        world.changeList(id, { address, role: 'upstream', state: 'leaving' });
       })
       .with(['engine', P.string, P.union('reorder', 'foreign', 'repeat')], ([, id, kind]) => {
         engines.get(need(id))!.faults.nextStream = kind;
@@ -155,6 +160,10 @@
       .with(['engine', P.string, 'mute', P.string], ([, id, , token]) => {
         engines.get(need(id))!.faults.muteAtToken = n(token);
       })
+      .with(['service', 'leaving'], () => {
+        const address = '127.0.0.1:9100';
+        world.changeList('desk1', { address, role: 'upstream', state: 'leaving' });
+      })
       .with(['service', P.union('down', 'up')], ([, kind]) => {
         world.services.faults.isDown = kind === 'down';
       })
@@ -204,6 +213,12 @@
           fail(step, `owners are ${owners.join(' ') || 'none'}`);
         }
       })
+      .with(['at', 'most', P.string, 'loads', 'a', 'second'], ([, , count]) => {
+        const seen = world.getMostLoadsInOneSecond();
+        if (seen > toNumber(count)) {
+          fail(step, `${seen} loads`);
+        }
+      })
       .with(['resident', P.string, 'on', P.string], ([, model, , engine]) => {
         const names = world.engines.get(need(engine))!.getResident();
         if (!names.some((name) => name.startsWith(`${model}#`))) {
