--- a/test/matrix/mutations.ts
+++ b/test/matrix/mutations.ts
@@ -4,7 +4,7 @@
   file: string;
   from: string;
   to: string;
-  /** A scenario that must then be red. */
+  /** A scenario, or a file of tests, that must then be red. */
   scenario: string;
 }
 
@@ -12,7 +12,7 @@
 const mutations: Mutation[] = [
   {
     mechanism: 'intent of an eviction on the platform before its order',
-    file: 'src/owners/createOwners.ts',
+    file: 'src/owners/createOrders.ts',
     from: '!row.checksFencing && !(await tryRecordIntent(ownership, engine, name))',
     to: 'false',
     scenario: 'paused-owner',
@@ -34,15 +34,15 @@
   },
   {
     mechanism: 'fencing number shown to an engine at a change of owner',
-    file: 'src/owners/createOwners.ts',
+    file: 'src/owners/createInspections.ts',
     from: 'row.checksFencing && !(await tryRaiseFence(ownership, row.address))',
     to: 'ownership.isEnded',
     scenario: 'paused-owner-checked',
   },
   {
     mechanism: 'withdrawal at every holder before an eviction',
-    file: 'src/owners/createOwners.ts',
-    from: 'if (!(await withdrawEverywhere(ownership, engine, name))) {\n      return false;',
+    file: 'src/owners/createOrders.ts',
+    from: 'if (!(await withdrawals.withdrawEverywhere(ownership, engine, name))) {\n      return false;',
     to: 'if (ownership.isEnded) {\n      return false;',
     scenario: 'fallback-pins',
   },
@@ -86,7 +86,7 @@
     file: 'src/table/createTable.ts',
     from: 'present && present.revision >= row.revision',
     to: 'present && present.revision > row.revision + 1e9',
-    scenario: 'stale-peer',
+    scenario: 'test/unit/table.test.ts',
   },
   {
     mechanism: 'rows pushed to, and asked of, other VMs',
@@ -109,6 +109,13 @@
     to: 'if (chunk.offset >= 0) {\n      return [chunk];\n    }',
     scenario: 'silent-stream',
   },
+  {
+    mechanism: 'records of calls that hang on no lease',
+    file: 'src/calls/createCalls.ts',
+    from: "const put = { kind: 'put', key, value: JSON.stringify(record) } as const;\n    const answer",
+    to: "const lease = await host.keyValue.grantLease(60);\n    const put = { kind: 'put', key, value: JSON.stringify(record), lease: lease.ok ? lease.value : '' } as const;\n    const answer",
+    scenario: 'lapsed-booking',
+  },
   {
     mechanism: 'check that a chunk belongs to the request and model',
     file: 'src/completions/createCompletions.ts',
@@ -125,7 +132,7 @@
   },
   {
     mechanism: 'no new work for a leaving engine',
-    file: 'src/owners/createOwners.ts',
+    file: 'src/owners/createInspections.ts',
     from: 'const isUsable = !report.value.leaving && !isLeaving(row.address);',
     to: 'const isUsable = report.ok;',
     scenario: 'leaving',
--- a/test/matrix/runMutations.ts
+++ b/test/matrix/runMutations.ts
@@ -24,13 +24,15 @@
 }
 
 function getFault(scenario: string): string {
-  const words = ['--import', 'tsx', 'test/scenario/main.ts', `test/scenarios/${scenario}.scenario`];
+  const words = scenario.endsWith('.test.ts')
+    ? ['node_modules/mocha/bin/mocha.js', '--no-config', '--node-option', 'import=tsx', scenario]
+    : ['--import', 'tsx', 'test/scenario/main.ts', `test/scenarios/${scenario}.scenario`];
   try {
     execFileSync('node', words, { cwd: FOLDER, encoding: 'utf8', stdio: 'pipe' });
     return 'HOLDS without the mechanism';
   } catch (error) {
     const lines = (error as { stdout: string }).stdout.split('\n');
-    const fault = lines.find((line) => line.includes('.scenario:')) ?? 'red';
+    const fault = lines.find((line) => /\.scenario:|AssertionError/.test(line)) ?? 'red';
     return fault.trim().replace('test/scenarios/', '').slice(0, 110);
   }
 }
