Stop the quickstart in order on Ctrl-C

Cause: the interrupt reached every process of the trial at once, and a second one, passed on by the wrappers, ended the trial before it had stopped its VMs; its last check was never printed. Change: the trial's processes have groups of their own, later interrupts change nothing. Before, SIGINT to the group: no last line.

--- a/scripts/createTrial.ts
+++ b/scripts/createTrial.ts
@@ -35,6 +35,8 @@
     const child = spawn(program, words, {
       env: { ...process.env, ...environment },
       stdio: ['ignore', 'pipe', 'pipe'],
+      // Ctrl-C is for the trial alone, which then stops its processes in order.
+      detached: true,
     });
     const lines: string[] = [];
     logs.set(name, lines);
--- a/scripts/quickstart.ts
+++ b/scripts/quickstart.ts
@@ -106,7 +106,8 @@
       ].join('\n'),
     );
     await new Promise<void>((resolve) => {
-      process.once('SIGINT', () => resolve());
+      // A terminal sends it to the wrappers too, which pass it on: later ones change nothing.
+      process.on('SIGINT', () => resolve());
     });
   }
   const wrong = await trial.stop();
