--- a/bench/claims/main.ts
+++ b/bench/claims/main.ts
@@ -3,7 +3,7 @@
  * carries, with and without claims riding together, and the time that a single booking takes.
  */
 import createCalls from '../../src/calls/createCalls';
-import type KeyValue from '../../src/platform/KeyValue';
+import type KeyValue from '../../src/keyValue/KeyValue';
 import createKeyValueState from '../../standins/createKeyValueState';
 import createVirtualTime from '../../test/scenario/createVirtualTime';
 
--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -8,6 +8,7 @@
   --external:cbor-extract --log-level=warning --outfile=dist/baobablink.cjs \
   --define:import.meta.url=bundleUrl \
   '--define:process.env.CBOR_NATIVE_ACCELERATION_DISABLED="true"' \
+  '--define:process.env.ROARR_LOG="true"' \
   --banner:js='const bundleUrl = require("node:url").pathToFileURL(process.execPath).href;'
 cat > dist/sea-config.json <<'J'
 { "main": "dist/baobablink.cjs", "output": "dist/baobablink.blob", "disableExperimentalSEAWarning": true }
--- a/src/calls/createCalls.ts
+++ b/src/calls/createCalls.ts
@@ -1,8 +1,8 @@
 import type Log from '../events/Log';
 import type Message from '../mesh/Message';
-import type KeyValue from '../platform/KeyValue';
-import type KeyValueEntry from '../platform/KeyValueEntry';
-import getPrefixEnd from '../platform/getPrefixEnd';
+import type KeyValue from '../keyValue/KeyValue';
+import type KeyValueEntry from '../keyValue/KeyValueEntry';
+import getPrefixEnd from '../keyValue/getPrefixEnd';
 import createRepeater from '../shared/createRepeater';
 import type Outcome from '../shared/Outcome';
 import type Time from '../shared/Time';
--- a/src/calls/createWriteBatcher.ts
+++ b/src/calls/createWriteBatcher.ts
@@ -1,6 +1,6 @@
-import type KeyValue from '../platform/KeyValue';
-import type KeyValueError from '../platform/KeyValueError';
-import type KeyValueTransaction from '../platform/KeyValueTransaction';
+import type KeyValue from '../keyValue/KeyValue';
+import type KeyValueError from '../keyValue/KeyValueError';
+import type KeyValueTransaction from '../keyValue/KeyValueTransaction';
 import type Outcome from '../shared/Outcome';
 
 type Answer = Outcome<
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -1,6 +1,7 @@
 import meow from 'meow';
 import type { z } from 'zod';
 import { match } from 'ts-pattern';
+import PlatformSettings from '../settings/PlatformSettings';
 import Settings from '../settings/Settings';
 import getShownSettings from '../settings/getShownSettings';
 import readSettings from '../settings/readSettings';
@@ -13,9 +14,12 @@
 
 const VERSION = '0.1.0';
 
+type PlatformOptions = z.infer<typeof PlatformSettings>;
+
 const HELP = `
   Usage
     baobablink serve [settings]            run the entry daemon
+    baobablink serve-platform [settings]   run an entry VM that routes by the platform's manifest
     baobablink check [settings]            validate the settings and show them
     baobablink where ADAPTER               entry VMs to use for an adapter
     baobablink status                      members, owners, residency
@@ -40,6 +44,11 @@
   .map(([name, schema]) => `    ${toFlag(name).padEnd(28)} ${(schema as z.ZodType).description}`)
   .join('\n')}
 
+  Settings of serve-platform
+${Object.entries(PlatformSettings.shape)
+  .map(([name, schema]) => `    ${toFlag(name).padEnd(28)} ${(schema as z.ZodType).description}`)
+  .join('\n')}
+
   Each flag can be given as a variable: --mesh-port is BAOBABLINK_MESH_PORT.
   Exit codes: 0 done, 1 refused or failed, 2 wrong usage.
 `;
@@ -48,9 +57,10 @@
 export default async function run(
   words: string[],
   environment: Record<string, string | undefined>,
+  servePlatform: (options: PlatformOptions) => Promise<number>,
 ): Promise<number> {
   const settingFlags = Object.fromEntries(
-    Object.keys(Settings.shape).map((name) => [name, { type: 'string' as const }]),
+    [...Object.keys(Settings.shape), ...Object.keys(PlatformSettings.shape)].map((name) => [name, { type: 'string' as const }]),
   );
   const cli = meow(HELP, {
     importMeta: { url: import.meta.url } as ImportMeta,
@@ -83,9 +93,10 @@
   );
   const [command, ...rest] = cli.input;
   return match(command)
-    .with('serve', () => withSettings(serve))
+    .with('serve', () => withSettings(Settings, serve))
+    .with('serve-platform', () => withSettings(PlatformSettings, servePlatform))
     .with('check', () =>
-      withSettings(async (settings) => {
+      withSettings(Settings, async (settings) => {
         output.print(JSON.stringify(getShownSettings(settings), undefined, 2));
         return 0;
       }),
@@ -95,8 +106,11 @@
     .with('table', () => runTable(rest, flags as never, client, output))
     .otherwise(refuseUsage);
 
-  async function withSettings(action: (settings: Settings) => Promise<number>): Promise<number> {
-    const settings = readSettings(flags, environment);
+  async function withSettings<Shape extends z.ZodObject>(
+    schema: Shape,
+    action: (settings: z.infer<Shape>) => Promise<number>,
+  ): Promise<number> {
+    const settings = readSettings(schema, flags, environment);
     if (!settings.ok) {
       settings.error.forEach((fault) => output.fail(fault));
       return 2;
--- /dev/null
+++ b/src/engines/chooseHome.ts
@@ -0,0 +1,30 @@
+import rankByRendezvous from '../shared/rankByRendezvous';
+import type Home from './Home';
+
+/** Loads on their way to one engine at once; more wait in line. */
+const MAX_PENDING = 4;
+/** Above this share of its slots an engine takes no further adapter while others have room. */
+const MAX_FILL = 0.8;
+/** Homes that an adapter returns to: where it was lately, it loads ten times as fast. */
+const HOMES = 2;
+
+/**
+ * Chooses the engine that loads an adapter: its first home by rendezvous hashing, the next one
+ * where that has no room. Answers many adapters asked for in turn on few places.
+ */
+export default function chooseHome(key: string, homes: readonly Home[]): Home | undefined {
+  const byId = new Map(homes.map((home) => [home.id, home]));
+  const ranked = rankByRendezvous(
+    key,
+    homes.map((home) => home.id),
+  ).map((id) => byId.get(id)!);
+  const hasRoom = (home: Home) =>
+    home.pending < MAX_PENDING && home.inFlight < home.slots * MAX_FILL;
+  const preferred = ranked.slice(0, HOMES).filter(hasRoom);
+  return (
+    preferred.find((home) => !home.isFull) ??
+    preferred[0] ??
+    ranked.find(hasRoom) ??
+    [...ranked].sort((left, right) => left.pending - right.pending)[0]
+  );
+}
--- /dev/null
+++ b/src/engines/createEngine.ts
@@ -0,0 +1,357 @@
+import { match } from 'ts-pattern';
+import type Log from '../events/Log';
+import type BaseModel from '../manifest/BaseModel';
+import type Outcome from '../shared/Outcome';
+import type Time from '../shared/Time';
+import type Upstream from '../upstream/Upstream';
+import chooseOrder from './chooseOrder';
+import type EngineFault from './EngineFault';
+import type EngineOrder from './EngineOrder';
+import type EngineReport from './EngineReport';
+import type EngineState from './EngineState';
+import getAdapterKey from './getAdapterKey';
+import type Slot from './Slot';
+import type Want from './Want';
+
+/** Time of a load from the store, by the platform's pages. */
+const LOAD_MS = 250;
+/** Time of a load of an adapter that the engine held recently: a tenth. */
+const RELOAD_MS = 25;
+const RECENTLY_HELD = 180;
+/** Reports are some hundred milliseconds old; an order without an answer shows after that. */
+const REPORT_LAG_MS = 400;
+const RETRY_PAUSE_MS = 150;
+const CONFIRM_AGAIN_MS = 30;
+/** Loading a model moves tens of gigabytes; it is not asked for again sooner. */
+const MODEL_LOAD_PAUSE_MS = 1000;
+
+interface EngineHost extends Time {
+  order(
+    order: EngineOrder,
+    by: { fence: number; expectedSequence: number },
+  ): Promise<Outcome<'accepted' | 'held', EngineFault>>;
+  report(): Promise<Outcome<EngineReport, EngineFault>>;
+  /** Fencing number of this VM's ownership, while it may order. */
+  tryGetFence(now: number): number | undefined;
+  getUse(now: number, key: string): { inFlight: number; lastUsedAt: number };
+  getVersion(key: string): number;
+  getModels(): BaseModel[];
+  getPlaces(): number;
+  announce(state: Omit<EngineState, 'fence' | 'sequence' | 'canLoad'>): void;
+  refuse(want: Want, reason: 'full' | 'expired' | 'failed'): void;
+  countOrder(kind: string, outcome: string): void;
+  log: Log;
+}
+
+/** Decides and carries out the orders to one engine on behalf of its owner. */
+export default function createEngine(host: EngineHost, upstream: Upstream) {
+  let slots: Slot[] = [];
+  let models: { name: string; version: number }[] = [];
+  let wants: Want[] = [];
+  let sequence = 0;
+  let isKnown = false;
+  let readAfter = -Infinity;
+  let isWorking = false;
+  let isStopped = false;
+  let cancelTimer = () => {};
+  const modelOrderedAt = new Map<string, number>();
+  const heldBefore = new Set<string>();
+
+  /** Asks for an adapter; joins an equal ask. */
+  function want(asked: Omit<Want, 'since' | 'askers' | 'key'>, asker: string): void {
+    const now = host.now();
+    const key = getAdapterKey(asked.model, asked.adapter);
+    const held = slots.find((slot) => slot.key === key && slot.version >= asked.version);
+    if (held?.state === 'resident') {
+      announce();
+      return;
+    }
+    if (held?.state === 'loading') {
+      return;
+    }
+    const known = wants.find((other) => other.key === key);
+    if (known) {
+      known.askers.add(asker);
+      known.urgency = Math.min(known.urgency, asked.urgency);
+      known.expiresAt = Math.max(known.expiresAt, asked.expiresAt);
+      known.version = Math.max(known.version, asked.version);
+    } else {
+      wants.push({ ...asked, key, since: now, askers: new Set([asker]) });
+    }
+    work();
+  }
+
+  /** Carries out decisions one after the other until none is left. */
+  async function work(): Promise<void> {
+    if (isWorking || isStopped) {
+      return;
+    }
+    isWorking = true;
+    cancelTimer();
+    let pauseMs: number | undefined = 0;
+    while (pauseMs === 0 && !isStopped) {
+      // eslint-disable-next-line no-await-in-loop -- the engine's order count needs each answer
+      pauseMs = await step();
+    }
+    isWorking = false;
+    if (pauseMs !== undefined && !isStopped) {
+      cancelTimer = host.setTimer(pauseMs, work);
+    }
+  }
+
+  /** Does one thing; answers the pause until the next one, undefined where nothing is left. */
+  async function step(): Promise<number | undefined> {
+    const now = host.now();
+    if (host.tryGetFence(now) === undefined) {
+      refuseAll('failed');
+      return RETRY_PAUSE_MS;
+    }
+    if (!isKnown) {
+      return learn(now);
+    }
+    const missing = host.getModels().find((model) => models.every(({ name }) => name !== model.name));
+    if (missing && models.length === 0) {
+      return loadModel(now, missing);
+    }
+    const choice = chooseOrder(now, {
+      slots,
+      wants,
+      places: host.getPlaces(),
+      getUse: (key) => host.getUse(now, key),
+      getVersion: host.getVersion,
+    });
+    return match(choice)
+      .with({ kind: 'confirm' }, ({ slot }) => confirm(slot))
+      .with({ kind: 'load' }, (load) => startLoad(now, load.want))
+      .with({ kind: 'unload' }, ({ slot }) => unload(slot))
+      .with({ kind: 'drop' }, (drop) => {
+        wants = wants.filter((other) => other !== drop.want);
+        host.refuse(drop.want, drop.reason);
+        return 0;
+      })
+      .with({ kind: 'wait' }, ({ untilMs }) => Math.max(1, untilMs - now))
+      .with({ kind: 'none' }, () => undefined)
+      .exhaustive();
+  }
+
+  async function learn(now: number): Promise<number> {
+    if (now < readAfter) {
+      return readAfter - now;
+    }
+    const report = await host.report();
+    if (!report.ok) {
+      readAfter = host.now() + RETRY_PAUSE_MS;
+      return RETRY_PAUSE_MS;
+    }
+    const { value } = report;
+    const readAt = host.now();
+    models = value.models.map(({ name, version }) => ({ name, version }));
+    const resident = value.models.flatMap((model) =>
+      model.adapters.map((adapter) =>
+        createSlot(readAt, getAdapterKey(model.name, adapter.name), adapter.version, 'resident'),
+      ),
+    );
+    const coming = value.coming.map((adapter) => ({
+      ...createSlot(readAt, getAdapterKey(adapter.model, adapter.adapter), adapter.version, 'loading'),
+      dueAt: readAt + LOAD_MS,
+    }));
+    const seen = new Set([...resident, ...coming].map(({ key }) => key));
+    // An order that was not answered may still be carried out while no later one was accepted.
+    const uncertain = slots.filter(
+      (slot) =>
+        slot.state === 'uncertain' && slot.sentAtSequence === value.sequence && !seen.has(slot.key),
+    );
+    slots = [...resident, ...coming, ...uncertain];
+    sequence = value.sequence;
+    isKnown = true;
+    slots.forEach(({ key }) => heldBefore.add(key));
+    host.log('engineRead', {
+      engine: upstream.id,
+      sequence,
+      adapters: resident.length,
+      coming: coming.length,
+      uncertain: uncertain.length,
+    });
+    announce();
+    return 0;
+  }
+
+  async function loadModel(now: number, model: BaseModel): Promise<number> {
+    const orderedAt = modelOrderedAt.get(model.name) ?? -Infinity;
+    if (now - orderedAt < MODEL_LOAD_PAUSE_MS) {
+      isKnown = false;
+      readAfter = now + RETRY_PAUSE_MS;
+      return RETRY_PAUSE_MS;
+    }
+    modelOrderedAt.set(model.name, now);
+    const outcome = await send('loadModel', {
+      kind: 'load',
+      model: model.name,
+      adapter: undefined,
+      version: undefined,
+    });
+    isKnown = false;
+    readAfter = host.now() + (outcome === 'accepted' ? model.loadMs + RETRY_PAUSE_MS : REPORT_LAG_MS);
+    return readAfter - host.now();
+  }
+
+  async function startLoad(now: number, wanted: Want): Promise<number> {
+    wants = wants.filter((other) => other !== wanted);
+    slots = slots.filter((slot) => slot.key !== wanted.key);
+    const slot = createSlot(now, wanted.key, wanted.version, 'loading');
+    slot.sentAtSequence = sequence;
+    slots.push(slot);
+    announce();
+    const outcome = await send('load', {
+      kind: 'load',
+      model: wanted.model,
+      adapter: wanted.adapter,
+      version: wanted.version || undefined,
+    });
+    const answeredAt = host.now();
+    const isRecent = heldBefore.has(`${wanted.key}@${wanted.version}`);
+    slot.dueAt = answeredAt + (isRecent ? RELOAD_MS : LOAD_MS);
+    return settle(outcome, slot, () => {
+      if (outcome === 'held') {
+        slot.state = 'resident';
+        announce();
+      }
+    }, wanted);
+  }
+
+  /** Repeats a load whose time has come: the engine answers that it is held once it is. */
+  async function confirm(slot: Slot): Promise<number> {
+    const [model, adapter] = slot.key.split('/');
+    slot.sentAtSequence = sequence;
+    const outcome = await send('confirm', { kind: 'load', model, adapter, version: slot.version || undefined });
+    return settle(outcome, slot, () => {
+      if (outcome === 'held') {
+        slot.state = 'resident';
+        slot.since = host.now();
+        remember(slot);
+        announce();
+      } else {
+        slot.dueAt = host.now() + CONFIRM_AGAIN_MS;
+      }
+    });
+  }
+
+  async function unload(slot: Slot): Promise<number> {
+    const [model, adapter] = slot.key.split('/');
+    slot.state = 'leaving';
+    slot.sentAtSequence = sequence;
+    announce();
+    const outcome = await send('unload', { kind: 'unload', model, adapter, version: undefined });
+    return settle(outcome, slot, () => {
+      slots = slots.filter((other) => other !== slot);
+      announce();
+    });
+  }
+
+  /** Takes an order's outcome: goes on where it is certain, reads the engine where it is not. */
+  function settle(
+    outcome: Awaited<ReturnType<typeof send>>,
+    slot: Slot,
+    onCertain: () => void,
+    wanted?: Want,
+  ): number {
+    if (outcome === 'accepted' || outcome === 'held') {
+      onCertain();
+      return 0;
+    }
+    const isUncertain = outcome === 'noAnswer';
+    if (isUncertain) {
+      Object.assign(slot, { state: 'uncertain' });
+    } else if (wanted) {
+      slots = slots.filter((other) => other !== slot);
+      if (outcome === 'refused') {
+        host.refuse(wanted, 'failed');
+      } else {
+        wants.push(wanted);
+      }
+    }
+    isKnown = false;
+    readAfter = host.now() + (isUncertain ? REPORT_LAG_MS : RETRY_PAUSE_MS);
+    return readAfter - host.now();
+  }
+
+  async function send(
+    name: string,
+    order: EngineOrder,
+  ): Promise<'accepted' | 'held' | EngineFault['kind']> {
+    const fence = host.tryGetFence(host.now());
+    if (fence === undefined) {
+      return 'notSent';
+    }
+    const outcome = await host.order(order, { fence, expectedSequence: sequence });
+    const result = outcome.ok ? outcome.value : outcome.error.kind;
+    if (result === 'accepted') {
+      sequence += 1;
+      slots = slots.filter(
+        (slot) => slot.state !== 'uncertain' || slot.sentAtSequence !== sequence - 1,
+      );
+    }
+    host.countOrder(name, result);
+    host.log('engineOrdered', {
+      engine: upstream.id,
+      order: name,
+      adapter: order.adapter ?? order.model,
+      version: order.version,
+      fence,
+      expected: sequence,
+      outcome: result,
+      reason: outcome.ok ? undefined : (outcome.error as { reason?: string }).reason,
+      waiting: wants.length,
+    });
+    return result;
+  }
+
+  function remember(slot: Slot): void {
+    heldBefore.add(`${slot.key}@${slot.version}`);
+    if (heldBefore.size > RECENTLY_HELD) {
+      heldBefore.delete(heldBefore.values().next().value as string);
+    }
+  }
+
+  function refuseAll(reason: 'failed'): void {
+    wants.forEach((wanted) => host.refuse(wanted, reason));
+    wants = [];
+  }
+
+  function announce(): void {
+    host.announce({
+      engine: upstream.id,
+      startedAt: upstream.startedAt,
+      queued: wants.length,
+      models,
+      adapters: slots
+        .filter((slot) => slot.state !== 'uncertain')
+        .map(({ key, version, state }) => ({
+          key,
+          version,
+          state: state as 'loading' | 'resident' | 'leaving',
+        })),
+    });
+  }
+
+  /** Reads the engine again, since a VM found something else there. */
+  function doubt(): void {
+    if (isKnown) {
+      isKnown = false;
+      readAfter = host.now() + RETRY_PAUSE_MS;
+      work();
+    }
+  }
+
+  function stop(): void {
+    isStopped = true;
+    cancelTimer();
+    refuseAll('failed');
+  }
+
+  return { want, work, doubt, stop, announce, upstream };
+}
+
+function createSlot(now: number, key: string, version: number, state: Slot['state']): Slot {
+  return { key, version, state, since: now, dueAt: now, sentAtSequence: undefined };
+}
--- /dev/null
+++ b/src/engines/createOwnerships.ts
@@ -0,0 +1,156 @@
+import type Log from '../events/Log';
+import type KeyValue from '../keyValue/KeyValue';
+import type Members from '../members/Members';
+import type Mirror from '../mirror/Mirror';
+import rankByRendezvous from '../shared/rankByRendezvous';
+import type Time from '../shared/Time';
+
+const OWNER_PREFIX = '/baobablink/engines/';
+const MEMBER_PREFIX = '/baobablink/members/';
+/** An order must have left the machine before the lease ends by the store's clock. */
+const LEASE_MARGIN_MS = 300;
+/** After a start the others need this long to be heard. */
+const SETTLE_MS = 1500;
+const CLAIM_PAUSE_MS = 500;
+/** A clock step or a suspension: the lease is not relied on until it was renewed once more. */
+const CLOCK_JUMP_MS = 200;
+
+interface OwnershipsHost extends Time {
+  keyValue: Pick<KeyValue, 'transact'>;
+  mirror: Pick<Mirror, 'tryGet' | 'getFailedAt' | 'getConfirmedAt'>;
+  members: Pick<Members, 'getServing' | 'hasLease' | 'isLeaving'>;
+  /** Time of day; only its jumps against the steady clock are looked at. */
+  getTimeOfDay(): number;
+  onTaken(engine: string): void;
+  onLost(engine: string): void;
+  log: Log;
+}
+
+interface Ownership {
+  fence: number;
+  /** No order before this: the former owner's last ones may be under way. */
+  orderFrom: number;
+}
+
+/**
+ * Which engines this VM gives orders to. A record names the owner of each engine; it changes only
+ * by a compare-and-swap that also compares the former owner's lapsed registration. The record's
+ * revision is the fencing number.
+ */
+export default function createOwnerships(
+  host: OwnershipsHost,
+  options: { address: string; incarnation: string; leaseMs: number },
+) {
+  const owned = new Map<string, Ownership>();
+  const claimedAt = new Map<string, number>();
+  const startedAt = host.now();
+  let clockOffset = host.getTimeOfDay() - startedAt;
+  let distrustUntil = -Infinity;
+
+  /** Takes the engines that have no owner and fall to this VM; gives up those taken by others. */
+  function tick(engines: readonly string[]): void {
+    const now = host.now();
+    [...owned.keys()].forEach((engine) => {
+      const record = tryGetRecord(engine);
+      const isOurs = record === undefined || isOwn(record);
+      if (!isOurs || !engines.includes(engine)) {
+        lose(engine, isOurs ? 'engine gone' : 'taken by another');
+      }
+    });
+    if (host.members.isLeaving() || !host.members.hasLease(now) || now - startedAt < SETTLE_MS) {
+      return;
+    }
+    engines
+      .filter((engine) => !owned.has(engine))
+      .filter((engine) => now - (claimedAt.get(engine) ?? -Infinity) > CLAIM_PAUSE_MS)
+      .filter((engine) => isClaimable(now, engine))
+      .forEach((engine) => {
+        claimedAt.set(engine, now);
+        claim(engine);
+      });
+  }
+
+  function isClaimable(now: number, engine: string): boolean {
+    const record = tryGetRecord(engine);
+    if (record?.holder === options.address) {
+      return true;
+    }
+    const isHeld = record && host.mirror.tryGet(`${MEMBER_PREFIX}${record.holder}`);
+    return !isHeld && rankByRendezvous(engine, host.members.getServing(now))[0] === options.address;
+  }
+
+  async function claim(engine: string): Promise<void> {
+    const record = tryGetRecord(engine);
+    const key = `${OWNER_PREFIX}${engine}`;
+    const { address, incarnation } = options;
+    const isAnothers = record !== undefined && record.holder !== address;
+    const answer = await host.keyValue.transact({
+      compare: [
+        { key, modRevision: record?.revision ?? 0 },
+        ...(isAnothers ? [{ key: `${MEMBER_PREFIX}${record.holder}`, modRevision: 0 }] : []),
+      ],
+      writes: [{ kind: 'put', key, value: JSON.stringify({ holder: address, incarnation }) }],
+      otherwiseRead: [],
+    });
+    const now = host.now();
+    if (!answer.ok || !answer.value.succeeded) {
+      host.log('ownershipRefused', {
+        engine,
+        reason: answer.ok ? 'condition not met' : answer.error.kind,
+      });
+      return;
+    }
+    const fence = answer.value.revision;
+    const orderFrom = isAnothers ? now + options.leaseMs + LEASE_MARGIN_MS : now;
+    owned.set(engine, { fence, orderFrom });
+    host.log('engineTaken', {
+      engine,
+      fence,
+      from: record?.holder,
+      quietMs: Math.round(orderFrom - now),
+    });
+    host.onTaken(engine);
+  }
+
+  function lose(engine: string, reason: string): void {
+    host.log('engineGivenUp', { engine, fence: owned.get(engine)?.fence, reason });
+    owned.delete(engine);
+    host.onLost(engine);
+  }
+
+  function tryGetRecord(engine: string) {
+    const entry = host.mirror.tryGet(`${OWNER_PREFIX}${engine}`);
+    if (entry?.value === undefined) {
+      return undefined;
+    }
+    const { holder, incarnation } = JSON.parse(entry.value) as Record<string, string>;
+    return { holder, incarnation, revision: entry.revision };
+  }
+
+  /** Whether a record is the one that this VM wrote, or one older than that. */
+  function isOwn(record: { holder: string; revision: number }): boolean {
+    return record.holder === options.address;
+  }
+
+  /** The fencing number for an order that is sent now; undefined while none may be sent. */
+  function tryGetFence(now: number, engine: string): number | undefined {
+    const ownership = owned.get(engine);
+    if (!ownership || now < ownership.orderFrom || hasClockJumped(now)) {
+      return undefined;
+    }
+    return host.members.hasLease(now + LEASE_MARGIN_MS) ? ownership.fence : undefined;
+  }
+
+  /** The steady clock does not count a suspension; the time of day does. */
+  function hasClockJumped(now: number): boolean {
+    const offset = host.getTimeOfDay() - now;
+    if (Math.abs(offset - clockOffset) > CLOCK_JUMP_MS) {
+      distrustUntil = now + options.leaseMs / 2;
+      host.log('clockJumped', { byMs: Math.round(offset - clockOffset) });
+    }
+    clockOffset = offset;
+    return now < distrustUntil;
+  }
+
+  return { tick, tryGetFence, getOwned: () => [...owned.keys()] };
+}
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -1,4 +1,4 @@
-import { match } from 'ts-pattern';
+import { match, P } from 'ts-pattern';
 import createCalls from '../calls/createCalls';
 import createCompletions from '../completions/createCompletions';
 import createPlaces from '../completions/createPlaces';
@@ -139,6 +139,18 @@
       })
       .with({ kind: 'handover' }, () => owners.observe())
       .with({ kind: 'callInquiry' }, { kind: 'callStatus' }, (call) => calls.receive(from, call))
+      .with(
+        P.union(
+          { kind: 'news' },
+          { kind: 'newsWanted' },
+          { kind: 'engineState' },
+          { kind: 'loadWanted' },
+          { kind: 'loadRefused' },
+          { kind: 'engineDoubted' },
+          { kind: 'usage' },
+        ),
+        ({ kind }) => host.log('messageDropped', { from, kind }),
+      )
       .exhaustive();
   }
 
--- /dev/null
+++ b/src/gateway/AnswerHead.ts
@@ -0,0 +1,14 @@
+/** Status and headers of an upstream's answer. */
+interface AnswerHead {
+  status: number;
+  /** Headers that go on to the caller. */
+  headers: [string, string][];
+  /** Id of the request that is answered. */
+  id: string | undefined;
+  /** Whether the upstream states that the request was not run. */
+  isNotRun: boolean;
+  /** Requests running and waiting at the upstream, where it tells. */
+  load: { running: number; waiting: number; slots: number } | undefined;
+}
+
+export default AnswerHead;
--- /dev/null
+++ b/src/gateway/Job.ts
@@ -0,0 +1,23 @@
+import type Route from '../manifest/Route';
+import type Call from './Call';
+import type Reply from './Reply';
+
+/** A request in progress. */
+interface Job {
+  call: Call;
+  route: Route;
+  service: string;
+  reply: Reply;
+  arrivedAt: number;
+  deadlineAt: number;
+  /** Whether the caller has a status line and headers. */
+  isHeadWritten: boolean;
+  /** Last event that the caller has of a stream that may be resumed. */
+  lastEventId: number | undefined;
+  firstByteAt: number | undefined;
+  isCallerGone: boolean;
+  /** Ends what is under way now, since the caller has left. */
+  leave: () => void;
+}
+
+export default Job;
--- /dev/null
+++ b/src/gateway/Place.ts
@@ -0,0 +1,11 @@
+import type Upstream from '../upstream/Upstream';
+
+/** Where a request goes, and which version of its adapter must answer there. */
+interface Place {
+  upstream: Upstream;
+  version: number | undefined;
+  /** Requests in progress there when it was chosen. */
+  inFlight: number;
+}
+
+export default Place;
--- /dev/null
+++ b/src/gateway/createGateway.ts
@@ -0,0 +1,129 @@
+import type Log from '../events/Log';
+import type Metrics from '../metrics/Metrics';
+import type Manifest from '../manifest/Manifest';
+import pickTarget from '../manifest/pickTarget';
+import tryGetRoute from '../manifest/tryGetRoute';
+import type Outcome from '../shared/Outcome';
+import type Time from '../shared/Time';
+import type AttemptOutcome from './AttemptOutcome';
+import type Call from './Call';
+import type Job from './Job';
+import type Place from './Place';
+import type Refusal from './Refusal';
+import type Reply from './Reply';
+import serveCall from './serveCall';
+import writeRefusal from './writeRefusal';
+
+const NOT_READY_RETRY_MS = 500;
+
+interface GatewayHost extends Time {
+  getManifest(): Manifest | undefined;
+  place(job: Job, avoid: ReadonlySet<string>): Promise<Outcome<Place, Refusal>>;
+  attempt(job: Job, place: Place, isLast: boolean): Promise<AttemptOutcome>;
+  noteRequest(now: number, service: string): void;
+  tryRepeat(now: number, service: string): boolean;
+  /** A number from 0 to 1. */
+  random(): number;
+  log: Log;
+  metrics: Metrics;
+}
+
+/** The filter chain of a caller's request: manifest, route, deadline, then service. */
+export default function createGateway(host: GatewayHost) {
+  let inFlight = 0;
+
+  /** Serves one request; the answer tells it that the caller has left. */
+  function handle(arrivedAt: number, call: Call, reply: Reply): () => void {
+    const manifest = host.getManifest();
+    if (!manifest) {
+      refuse(call, reply, { kind: 'notReady', retryAfterMs: NOT_READY_RETRY_MS });
+      return () => {};
+    }
+    const [path] = call.path.split('?');
+    const route = tryGetRoute(manifest, call.host, path);
+    if (!route) {
+      refuse(call, reply, { kind: 'noRoute' });
+      return () => {};
+    }
+    const service = pickTarget(route, host.random());
+    const patienceMs = Math.min(route.timeoutMs, call.deadlineMs ?? Infinity);
+    const job: Job = {
+      call,
+      route,
+      service,
+      reply,
+      arrivedAt,
+      deadlineAt: arrivedAt + patienceMs,
+      isHeadWritten: false,
+      lastEventId: undefined,
+      firstByteAt: undefined,
+      isCallerGone: false,
+      leave: () => {},
+    };
+    host.noteRequest(arrivedAt, service);
+    run(job, manifest.version);
+    return () => {
+      job.isCallerGone = true;
+      job.leave();
+    };
+  }
+
+  async function run(job: Job, version: number): Promise<void> {
+    inFlight += 1;
+    host.metrics.inFlight.set(inFlight);
+    host.metrics.requests.inc({ kind: job.route.kind });
+    let last: string | undefined;
+    let sent = 0;
+    const end = await serveCall(
+      {
+        ...host,
+        attempt: (attempted, place, isLast) => {
+          last = place.upstream.id;
+          sent += 1;
+          return host.attempt(attempted, place, isLast);
+        },
+        countRetry: (reason) => host.metrics.retries.inc({ reason }),
+      },
+      job,
+    );
+    inFlight -= 1;
+    host.metrics.inFlight.set(inFlight);
+    const now = host.now();
+    const { kind, ...details } = end;
+    if (kind === 'answered') {
+      host.metrics.answers.inc({ kind: job.route.kind });
+      host.metrics.firstToken.observe(((job.firstByteAt ?? now) - job.arrivedAt) / 1000);
+    }
+    if (kind === 'refused') {
+      host.metrics.refusals.inc({ reason: end.kind === 'refused' ? end.reason : kind });
+    }
+    host.log(kind === 'refused' ? 'requestRefused' : 'requestEnded', {
+      request: job.call.id,
+      end: kind,
+      ...details,
+      route: job.route.name,
+      manifest: version,
+      service: job.service,
+      adapter: job.call.adapter,
+      upstream: last,
+      sent,
+      ms: Math.round(now - job.arrivedAt),
+      firstMs: job.firstByteAt && Math.round(job.firstByteAt - job.arrivedAt),
+    });
+  }
+
+  /** Answers a request that fails before it is placed. */
+  function refuse(call: Pick<Call, 'id' | 'path'>, reply: Reply, refusal: Refusal): void {
+    const status = writeRefusal(reply, refusal);
+    host.metrics.refusals.inc({ reason: refusal.kind });
+    host.log('requestRefused', {
+      request: call.id,
+      end: 'refused',
+      status,
+      reason: refusal.kind,
+      manifest: host.getManifest()?.version,
+    });
+  }
+
+  return { handle, refuse, getInFlight: () => inFlight };
+}
--- /dev/null
+++ b/src/gateway/writeRefusal.ts
@@ -0,0 +1,29 @@
+import { match, P } from 'ts-pattern';
+import type Refusal from './Refusal';
+import type Reply from './Reply';
+
+const MS_PER_SECOND = 1000;
+
+/** Answers a request that has not run, with the time to come back where that helps. */
+export default function writeRefusal(reply: Reply, refusal: Refusal): number {
+  const status = match(refusal.kind)
+    .with('noRoute', () => 404)
+    .with('badRequest', () => 400)
+    .with('headerTooLarge', () => 431)
+    .with('bodyTooLarge', () => 413)
+    .with('slowBody', () => 408)
+    .with(P.union('notReady', 'noUpstream', 'busy', 'noAdapter', 'deadline'), () => 503)
+    .exhaustive();
+  const body = Buffer.from(JSON.stringify({ error: { code: refusal.kind, ran: 'no' } }));
+  const retryAfter: [string, string][] =
+    'retryAfterMs' in refusal
+      ? [['retry-after', String(refusal.retryAfterMs / MS_PER_SECOND)]]
+      : [];
+  reply.head(status, [
+    ['content-type', 'application/json'],
+    ['content-length', String(body.length)],
+    ...retryAfter,
+  ]);
+  reply.end(body);
+  return status;
+}
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -1,7 +1,7 @@
 import type Message from '../mesh/Message';
-import type KeyValue from '../platform/KeyValue';
-import type VirtualMachine from '../platform/VirtualMachine';
-import getPrefixEnd from '../platform/getPrefixEnd';
+import type KeyValue from '../keyValue/KeyValue';
+import type VirtualMachine from '../machines/VirtualMachine';
+import getPrefixEnd from '../keyValue/getPrefixEnd';
 import createRepeater from '../shared/createRepeater';
 import type Time from '../shared/Time';
 import type Member from './Member';
@@ -299,17 +299,26 @@
     beat();
   }
 
+  /** Gives the registration up, and with it all that is held by it. */
+  async function release(): Promise<void> {
+    const held = lease;
+    lease = undefined;
+    leaseValidUntil = -Infinity;
+    if (held !== undefined) {
+      await host.keyValue.revokeLease(held);
+    }
+  }
+
   async function stop(): Promise<void> {
     stops.forEach((end) => end());
-    if (lease !== undefined) {
-      await host.keyValue.revokeLease(lease);
-    }
+    await release();
   }
 
   return {
     start,
     stop,
     leave,
+    release,
     receive,
     isHeard,
     isAlive,
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -32,6 +32,12 @@
   value: z.unknown(),
 });
 
+const Change = z.object({
+  key: z.string(),
+  revision: z.number(),
+  value: z.string().optional(),
+});
+
 /** Everything that one entry VM says to another. Times are durations: clocks are not compared. */
 const Message = z.discriminatedUnion('kind', [
   z.object({
@@ -124,6 +130,56 @@
   z.object({ kind: z.literal('holding'), pool: z.string(), ids: z.array(z.string()) }),
   /** The receiver is now recorded as owner of a pool. */
   z.object({ kind: z.literal('handover'), pool: z.string() }),
+  /** Changes of the key-value service, from a VM that reads it. */
+  z.object({
+    kind: z.literal('news'),
+    fromRevision: z.number(),
+    revision: z.number(),
+    ageMs: z.number(),
+    changes: z.array(Change),
+  }),
+  /** Asks for all that the receiver holds of the key-value service. */
+  z.object({ kind: z.literal('newsWanted') }),
+  z.object({
+    kind: z.literal('engineState'),
+    engine: z.string(),
+    startedAt: z.number(),
+    fence: z.number(),
+    sequence: z.number(),
+    canLoad: z.boolean(),
+    queued: z.number(),
+    models: z.array(z.object({ name: z.string(), version: z.number() })),
+    adapters: z.array(
+      z.object({
+        key: z.string(),
+        version: z.number(),
+        state: z.enum(['loading', 'resident', 'leaving']),
+      }),
+    ),
+  }),
+  /** Asks the owner of an engine to load an adapter there. */
+  z.object({
+    kind: z.literal('loadWanted'),
+    engine: z.string(),
+    model: z.string(),
+    adapter: z.string(),
+    version: z.number(),
+    urgency: z.number(),
+    waitMs: z.number(),
+  }),
+  z.object({ kind: z.literal('loadRefused'), engine: z.string(), key: z.string() }),
+  /** An engine did not hold what its owner had announced. */
+  z.object({ kind: z.literal('engineDoubted'), engine: z.string() }),
+  /** The sender's requests by upstream: adapter, requests in progress, idle milliseconds. */
+  z.object({
+    kind: z.literal('usage'),
+    share: z.array(
+      z.object({
+        upstream: z.string(),
+        uses: z.array(z.tuple([z.string(), z.number(), z.number()])),
+      }),
+    ),
+  }),
   z.object({ kind: z.literal('callInquiry'), key: z.string(), nonce: z.string() }),
   z.object({
     kind: z.literal('callStatus'),
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -44,6 +44,8 @@
     queue: gauge('queue', 'Requests waiting in owned pools.', ['pool']),
     loadsInFlight: gauge('loads_in_flight', 'Loads in flight for owned pools.', ['pool']),
     tableRevision: gauge('table_revision', 'Revision of the table in force here.', []),
+    droppedLines: counter('log_lines_dropped_total', 'Log lines left out.', []),
+    connections: counter('upstream_connections_total', 'Connections opened to upstreams.', []),
     membersHeard: gauge('members_heard', 'Entry VMs heard now.', []),
     inFlight: gauge('requests_in_flight', 'Requests in progress on this VM.', []),
   };
--- /dev/null
+++ b/src/mirror/News.ts
@@ -0,0 +1,12 @@
+import type Change from '../keyValue/Change';
+
+/** Changes that take a mirror at any revision from `fromRevision` on to `revision`. */
+interface News {
+  fromRevision: number;
+  revision: number;
+  /** Time since the store confirmed `revision`, in milliseconds. */
+  ageMs: number;
+  changes: Change[];
+}
+
+export default News;
--- a/src/owners/createOwnerRecords.ts
+++ b/src/owners/createOwnerRecords.ts
@@ -1,6 +1,6 @@
-import type KeyValue from '../platform/KeyValue';
-import type KeyValueEntry from '../platform/KeyValueEntry';
-import getPrefixEnd from '../platform/getPrefixEnd';
+import type KeyValue from '../keyValue/KeyValue';
+import type KeyValueEntry from '../keyValue/KeyValueEntry';
+import getPrefixEnd from '../keyValue/getPrefixEnd';
 import OwnerRecord from './OwnerRecord';
 
 const OWNER_PREFIX = '/baobablink/owners/';
--- a/src/owners/createOwners.ts
+++ b/src/owners/createOwners.ts
@@ -3,7 +3,7 @@
 import type Members from '../members/Members';
 import type Message from '../mesh/Message';
 import type Metrics from '../metrics/Metrics';
-import type KeyValue from '../platform/KeyValue';
+import type KeyValue from '../keyValue/KeyValue';
 import createPool from '../pool/createPool';
 import createValuePolicy from '../pool/createValuePolicy';
 import type PoolAction from '../pool/PoolAction';
--- a/src/requests/createBodyFilter.ts
+++ b/src/requests/createBodyFilter.ts
@@ -22,7 +22,7 @@
     if (!body.ok) {
       return getRefusal(body.error);
     }
-    context.set('text', body.value);
+    context.set('text', body.value.toString());
     return next();
   };
 }
--- a/src/requests/readIncoming.ts
+++ b/src/requests/readIncoming.ts
@@ -10,11 +10,11 @@
   time: Time,
   incoming: IncomingMessage,
   limits: { maxBytes: number; timeoutMs: number },
-): Promise<Outcome<string, 'oversize' | 'slowBody'>> {
+): Promise<Outcome<Buffer, 'oversize' | 'slowBody'>> {
   return new Promise((resolve) => {
     const parts: Buffer[] = [];
     let size = 0;
-    const end = (outcome: Outcome<string, 'oversize' | 'slowBody'>) => {
+    const end = (outcome: Outcome<Buffer, 'oversize' | 'slowBody'>) => {
       cancelTimer();
       incoming.off('data', take);
       resolve(outcome);
@@ -31,7 +31,7 @@
       end({ ok: false, error: 'slowBody' }),
     );
     incoming.on('data', take);
-    incoming.once('end', () => end({ ok: true, value: Buffer.concat(parts).toString('utf8') }));
+    incoming.once('end', () => end({ ok: true, value: Buffer.concat(parts) }));
     incoming.once('error', () => end({ ok: false, error: 'slowBody' }));
   });
 }
--- a/src/settings/readSettings.ts
+++ b/src/settings/readSettings.ts
@@ -1,5 +1,6 @@
+import type { z } from 'zod';
 import type Outcome from '../shared/Outcome';
-import Settings from './Settings';
+
 
 /** Returns the variable of a setting: `meshPort` is `BAOBABLINK_MESH_PORT`. */
 function getVariable(setting: string): string {
@@ -13,29 +14,27 @@
 const SECRETS = new Set(['clusterKey', 'operatorToken']);
 
 /**
- * Reads the settings of `serve`: flags go before variables. All faults are answered at once, each
+ * Reads settings: flags go before variables. All faults are answered at once, each
  * with the flag, the variable, the value (unless secret) and what is expected.
  */
-export default function readSettings(
+export default function readSettings<Shape extends z.ZodObject>(
+  schema: Shape,
   flags: Record<string, unknown>,
   environment: Record<string, string | undefined>,
-): Outcome<Settings, string[]> {
+): Outcome<z.infer<Shape>, string[]> {
   const input = Object.fromEntries(
-    Object.keys(Settings.shape)
+    Object.keys(schema.shape)
       .map((name) => [name, flags[name] ?? environment[getVariable(name)]])
       .filter(([, value]) => value !== undefined && value !== ''),
   );
-  const parsed = Settings.safeParse(input);
+  const parsed = schema.safeParse(input);
   const faults = (parsed.error?.issues ?? []).map((issue) => {
     const name = String(issue.path[0]);
     const value = SECRETS.has(name) ? '(secret)' : JSON.stringify(input[name]);
     const given = input[name] === undefined ? 'is required' : `${value} is refused`;
     return `${getFlag(name)} (${getVariable(name)}): ${given}: ${issue.message}`;
   });
-  if (
-    parsed.success &&
-    (parsed.data.tlsCert === undefined) !== (parsed.data.tlsKey === undefined)
-  ) {
+  if ((input.tlsCert === undefined) !== (input.tlsKey === undefined)) {
     faults.push('--tls-cert and --tls-key: give both or neither');
   }
   return parsed.success && faults.length === 0
--- a/src/table/createTableController.ts
+++ b/src/table/createTableController.ts
@@ -1,10 +1,10 @@
 import { randomUUID } from 'node:crypto';
 import type Member from '../members/Member';
 import type Message from '../mesh/Message';
-import type KeyValue from '../platform/KeyValue';
-import type KeyValueEntry from '../platform/KeyValueEntry';
-import type KeyValueTransaction from '../platform/KeyValueTransaction';
-import getPrefixEnd from '../platform/getPrefixEnd';
+import type KeyValue from '../keyValue/KeyValue';
+import type KeyValueEntry from '../keyValue/KeyValueEntry';
+import type KeyValueTransaction from '../keyValue/KeyValueTransaction';
+import getPrefixEnd from '../keyValue/getPrefixEnd';
 import createRepeater from '../shared/createRepeater';
 import type Outcome from '../shared/Outcome';
 import type Time from '../shared/Time';
--- /dev/null
+++ b/src/upstream/Upstreams.ts
@@ -0,0 +1,6 @@
+import type createUpstreams from './createUpstreams';
+
+/** The upstreams that the store lists. */
+type Upstreams = ReturnType<typeof createUpstreams>;
+
+export default Upstreams;
--- a/standins/createKeyValueState.ts
+++ b/standins/createKeyValueState.ts
@@ -1,6 +1,6 @@
-import getPrefixEnd from '../src/platform/getPrefixEnd';
-import type KeyValueEntry from '../src/platform/KeyValueEntry';
-import type KeyValueTransaction from '../src/platform/KeyValueTransaction';
+import getPrefixEnd from '../src/keyValue/getPrefixEnd';
+import type KeyValueEntry from '../src/keyValue/KeyValueEntry';
+import type KeyValueTransaction from '../src/keyValue/KeyValueTransaction';
 
 interface Lease {
   ttlMs: number;
--- a/standins/keyValue.ts
+++ b/standins/keyValue.ts
@@ -5,8 +5,8 @@
 import http from 'node:http';
 import createKeyValueState from './createKeyValueState';
 import readArguments from './readArguments';
-import type KeyValueEntry from '../src/platform/KeyValueEntry';
-import type KeyValueTransaction from '../src/platform/KeyValueTransaction';
+import type KeyValueEntry from '../src/keyValue/KeyValueEntry';
+import type KeyValueTransaction from '../src/keyValue/KeyValueTransaction';
 
 const { listen, vms } = readArguments({ listen: '127.0.0.1:2379', vms: '[]' });
 const [host, port] = listen.split(':');
--- a/test/scenario/createFakePlatform.ts
+++ b/test/scenario/createFakePlatform.ts
@@ -1,5 +1,5 @@
-import type KeyValue from '../../src/platform/KeyValue';
-import type KeyValueError from '../../src/platform/KeyValueError';
+import type KeyValue from '../../src/keyValue/KeyValue';
+import type KeyValueError from '../../src/keyValue/KeyValueError';
 import type Outcome from '../../src/shared/Outcome';
 import createKeyValueState from '../../standins/createKeyValueState';
 import type Gate from './Gate';
--- a/test/unit/settings.test.ts
+++ b/test/unit/settings.test.ts
@@ -29,7 +29,7 @@
 describe('settings', () => {
   it('are read, refused and shown as recorded', () => {
     const lines = cases.flatMap(([flags, environment], index) => {
-      const settings = readSettings(flags, environment);
+      const settings = readSettings(Settings, flags, environment);
       return settings.ok
         ? [`case ${index}: ${JSON.stringify(getShownSettings(settings.value))}`]
         : [`case ${index}: refused`, ...settings.error.map((fault) => `  ${fault}`)];
