Count unloads in an engine's order count, not repeated loads

Cause: every unload, also one answered at once, advances the engine's order count, and a load that is repeated while it is under way does not; 163 of 500 loads met a conflict and a pause to read again.

--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -285,7 +285,10 @@
     }
     const outcome = await host.order(order, { fence, expectedSequence: sequence });
     const result = outcome.ok ? outcome.value : outcome.error.kind;
-    if (result === 'accepted') {
+    // Repeating a load that is under way is accepted but not counted; every unload is counted.
+    const isCounted =
+      name === 'unload' ? outcome.ok : result === 'accepted' && name !== 'confirm';
+    if (isCounted) {
       sequence += 1;
       slots = slots.filter(
         (slot) => slot.state !== 'uncertain' || slot.sentAtSequence !== sequence - 1,
--- a/test/unit/settings.test.ts
+++ b/test/unit/settings.test.ts
@@ -1,5 +1,6 @@
 import getShownSettings from '../../src/settings/getShownSettings';
 import readSettings from '../../src/settings/readSettings';
+import Settings from '../../src/settings/Settings';
 import compareBaseline from './compareBaseline';
 
 const WHOLE = {
