Give requests turns at engines, so that streams do not pause

Cause: engines read up to 2048 prompt tokens between two tokens of a stream. Ruled out: delays in this process, loads of adapters (pauses do not fall together with orders). Change: the owner of an engine lets prompts be read a bounded number of tokens at a time, urgent ones first; a request whose turn does not come within its objective goes without. It is no permission: without an owner requests go at once.

--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -60,7 +60,10 @@
   servePlatform: (options: PlatformOptions) => Promise<number>,
 ): Promise<number> {
   const settingFlags = Object.fromEntries(
-    [...Object.keys(Settings.shape), ...Object.keys(PlatformSettings.shape)].map((name) => [name, { type: 'string' as const }]),
+    [...Object.keys(Settings.shape), ...Object.keys(PlatformSettings.shape)].map((name) => [
+      name,
+      { type: 'string' as const },
+    ]),
   );
   const cli = meow(HELP, {
     importMeta: { url: import.meta.url } as ImportMeta,
--- a/src/engines/chooseOrder.ts
+++ b/src/engines/chooseOrder.ts
@@ -51,9 +51,7 @@
       return { kind: 'load', want: next };
     }
     const victim = tryGetVictim(now, view);
-    return victim
-      ? { kind: 'unload', slot: victim }
-      : { kind: 'drop', want: next, reason: 'full' };
+    return victim ? { kind: 'unload', slot: victim } : { kind: 'drop', want: next, reason: 'full' };
   }
   const nextDue = Math.min(...loading.map((slot) => slot.dueAt));
   return Number.isFinite(nextDue) ? { kind: 'wait', untilMs: nextDue } : { kind: 'none' };
@@ -75,8 +73,8 @@
       isOld: slot.version < view.getVersion(slot.key),
     }))
     .filter(({ use }) => use.inFlight === 0)
-    .filter(({ slot, use, isOld }) =>
-      isOld || now - Math.max(use.lastUsedAt, slot.since) >= MIN_IDLE_MS,
+    .filter(
+      ({ slot, use, isOld }) => isOld || now - Math.max(use.lastUsedAt, slot.since) >= MIN_IDLE_MS,
     )
     .sort(
       (left, right) =>
--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -109,7 +109,9 @@
     if (!isKnown) {
       return learn(now);
     }
-    const missing = host.getModels().find((model) => models.every(({ name }) => name !== model.name));
+    const missing = host
+      .getModels()
+      .find((model) => models.every(({ name }) => name !== model.name));
     if (missing && models.length === 0) {
       return loadModel(now, missing);
     }
@@ -152,7 +154,12 @@
       ),
     );
     const coming = value.coming.map((adapter) => ({
-      ...createSlot(readAt, getAdapterKey(adapter.model, adapter.adapter), adapter.version, 'loading'),
+      ...createSlot(
+        readAt,
+        getAdapterKey(adapter.model, adapter.adapter),
+        adapter.version,
+        'loading',
+      ),
       dueAt: readAt + LOAD_MS,
     }));
     const seen = new Set([...resident, ...coming].map(({ key }) => key));
@@ -191,7 +198,8 @@
       version: undefined,
     });
     isKnown = false;
-    readAfter = host.now() + (outcome === 'accepted' ? model.loadMs + RETRY_PAUSE_MS : REPORT_LAG_MS);
+    readAfter =
+      host.now() + (outcome === 'accepted' ? model.loadMs + RETRY_PAUSE_MS : REPORT_LAG_MS);
     return readAfter - host.now();
   }
 
@@ -211,19 +219,29 @@
     const answeredAt = host.now();
     const isRecent = heldBefore.has(`${wanted.key}@${wanted.version}`);
     slot.dueAt = answeredAt + (isRecent ? RELOAD_MS : LOAD_MS);
-    return settle(outcome, slot, () => {
-      if (outcome === 'held') {
-        slot.state = 'resident';
-        announce();
-      }
-    }, wanted);
+    return settle(
+      outcome,
+      slot,
+      () => {
+        if (outcome === 'held') {
+          slot.state = 'resident';
+          announce();
+        }
+      },
+      wanted,
+    );
   }
 
   /** Repeats a load whose time has come: the engine answers that it is held once it is. */
   async function confirm(slot: Slot): Promise<number> {
     const [model, adapter] = slot.key.split('/');
     slot.sentAtSequence = sequence;
-    const outcome = await send('confirm', { kind: 'load', model, adapter, version: slot.version || undefined });
+    const outcome = await send('confirm', {
+      kind: 'load',
+      model,
+      adapter,
+      version: slot.version || undefined,
+    });
     return settle(outcome, slot, () => {
       if (outcome === 'held') {
         slot.state = 'resident';
@@ -286,8 +304,7 @@
     const outcome = await host.order(order, { fence, expectedSequence: sequence });
     const result = outcome.ok ? outcome.value : outcome.error.kind;
     // Repeating a load that is under way is accepted but not counted; every unload is counted.
-    const isCounted =
-      name === 'unload' ? outcome.ok : result === 'accepted' && name !== 'confirm';
+    const isCounted = name === 'unload' ? outcome.ok : result === 'accepted' && name !== 'confirm';
     if (isCounted) {
       sequence += 1;
       slots = slots.filter(
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -148,6 +148,9 @@
           { kind: 'loadRefused' },
           { kind: 'engineDoubted' },
           { kind: 'usage' },
+          { kind: 'turnWanted' },
+          { kind: 'turn' },
+          { kind: 'turnOver' },
         ),
         ({ kind }) => host.log('messageDropped', { from, kind }),
       )
--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -43,10 +43,7 @@
 ) {
   const { upstreams, usage, health, views } = parts;
 
-  async function place(
-    job: Job,
-    avoid: ReadonlySet<string>,
-  ): Promise<Outcome<Place, Refusal>> {
+  async function place(job: Job, avoid: ReadonlySet<string>): Promise<Outcome<Place, Refusal>> {
     const { model, adapter } = job.call;
     const isEngine = host.getManifest()?.services.get(job.service)?.engine !== undefined;
     if (!isEngine || model === undefined) {
@@ -96,7 +93,8 @@
       return undefined;
     }
     const { model, adapter } = job.call;
-    const isCopyWorth = chosen.inFlight >= chosen.slots * COPY_FILL && holders.length < ready.length;
+    const isCopyWorth =
+      chosen.inFlight >= chosen.slots * COPY_FILL && holders.length < ready.length;
     if (isCopyWorth && adapter !== undefined) {
       parts.getLoads().want({ model: model!, adapter, key, version, urgency: 1 }, () => {});
     }
@@ -126,10 +124,9 @@
       const cancelTimer = host.setTimer(Math.max(0, leftMs), () => end(false));
       let leaveLoad = () => {};
       Object.assign(job, { leave: () => end(false) });
-      const leave = parts.getLoads().want(
-        { ...ask, version: host.getVersion(ask.key), urgency: job.route.urgency },
-        end,
-      );
+      const leave = parts
+        .getLoads()
+        .want({ ...ask, version: host.getVersion(ask.key), urgency: job.route.urgency }, end);
       leaveLoad = leave;
     });
   }
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -23,6 +23,8 @@
 import createUpstreamHealth from '../upstream/createUpstreamHealth';
 import createUpstreams from '../upstream/createUpstreams';
 import type Upstream from '../upstream/Upstream';
+import createTurns from '../turns/createTurns';
+import createTurnTaker from '../turns/createTurnTaker';
 import createUsage from '../usage/createUsage';
 import createPlacement from './createPlacement';
 import type RoutedEntryHost from './RoutedEntryHost';
@@ -38,6 +40,10 @@
 const MIN_SILENCE_MS = 1000;
 /** A caller that leaves after this long without a byte has found a silent upstream. */
 const SILENT_MS = 1500;
+/** Tokens of a prompt that an engine reads in a millisecond beside its streams. */
+const READ_TOKENS_PER_MS = 25;
+/** Part of the latency objective within which a request may wait for its turn. */
+const TURN_SHARE = 0.85;
 const URGENCY_STEP = 2;
 const MAX_URGENCY = 9;
 /** Characters shown of an entry that can't be read. */
@@ -115,6 +121,7 @@
     onGone: (id) => {
       views.remove(id);
       health.forget(id);
+      turns.delete(id);
       closeEngine(id);
     },
   });
@@ -159,6 +166,17 @@
         .getAll()
         .some(({ id, state }) => state === 'ready' && views.isResident(id, ask.key, ask.version)),
   });
+  const turns = new Map<string, ReturnType<typeof createTurns>>();
+  const turnTaker = createTurnTaker({
+    ...host,
+    ask: (engine, asked, waitMs) => {
+      const owner = tryGetOwner(engine);
+      return (
+        owner !== undefined &&
+        sendOrDeliver(owner, { kind: 'turnWanted', engine, ...asked, waitMs })
+      );
+    },
+  });
   const repeats = createRepeatBudget((now) => members.getServing(now).length, options.repeat);
   const gateway = createGateway({
     ...host,
@@ -184,6 +202,13 @@
       isRepeatable && !isLast
         ? Math.max(MIN_SILENCE_MS, SILENCE_FACTOR * job.route.latencyObjectiveMs)
         : Infinity;
+    if (isEngine) {
+      await takeTurn(job, upstream.id);
+      if (job.isCallerGone) {
+        finish(host.now());
+        return { kind: 'callerLeft' } as const;
+      }
+    }
     const outcome = await sendAttempt(
       {
         ...host,
@@ -204,6 +229,9 @@
             exchange,
           ),
         onFirstByte: (now, head) => {
+          if (isEngine) {
+            endTurn(upstream.id, job.call.id);
+          }
           if (head.status < 500 && !head.isNotRun) {
             health.noteSuccess(now, upstream.id, now - startedAt);
           }
@@ -214,6 +242,9 @@
     );
     const now = host.now();
     finish(now);
+    if (isEngine && job.firstByteAt === undefined) {
+      endTurn(upstream.id, job.call.id);
+    }
     const isSilent =
       (outcome.kind === 'callerLeft' || outcome.kind === 'deadline') &&
       job.firstByteAt === undefined &&
@@ -238,6 +269,33 @@
     return outcome;
   }
 
+  /** Waits until the engine has room to read the prompt, while that is in time. */
+  async function takeTurn(job: Job, engine: string): Promise<void> {
+    const now = host.now();
+    const { latencyObjectiveMs, urgency } = job.route;
+    const readMs = job.call.promptTokens / READ_TOKENS_PER_MS;
+    const waitMs = job.arrivedAt + latencyObjectiveMs * TURN_SHARE - readMs - now;
+    if (waitMs <= 0) {
+      return;
+    }
+    Object.assign(job, { leave: () => turnTaker.leave(job.call.id) });
+    const asked = { id: job.call.id, tokens: job.call.promptTokens, urgency };
+    await turnTaker.take(engine, asked, Math.round(waitMs));
+  }
+
+  function endTurn(engine: string, id: string): void {
+    const owner = tryGetOwner(engine);
+    if (owner !== undefined) {
+      sendOrDeliver(owner, { kind: 'turnOver', engine, id });
+    }
+  }
+
+  function getTurns(engine: string): ReturnType<typeof createTurns> {
+    const known = turns.get(engine) ?? createTurns();
+    turns.set(engine, known);
+    return known;
+  }
+
   function getVersion(key: string): number {
     return versions.get(key) ?? 0;
   }
@@ -391,6 +449,18 @@
         const needed = Math.max(version, getVersion(getAdapterKey(model, adapter)));
         engine.want({ model, adapter, version: needed, urgency, expiresAt: now + waitMs }, from);
       })
+      .with({ kind: 'turnWanted' }, ({ engine, id, tokens, urgency, waitMs }) => {
+        let isGranted = false;
+        getTurns(engine).ask(now, { id, tokens, urgency }, waitMs, () => {
+          isGranted = true;
+          sendOrDeliver(from, { kind: 'turn', id, isGranted });
+        });
+        if (!isGranted) {
+          sendOrDeliver(from, { kind: 'turn', id, isGranted });
+        }
+      })
+      .with({ kind: 'turn' }, ({ id, isGranted }) => turnTaker.receive(id, isGranted))
+      .with({ kind: 'turnOver' }, ({ engine, id }) => turns.get(engine)?.finish(now, id))
       .with({ kind: 'loadRefused' }, ({ engine, key }) => loads.refuse(engine, key))
       .with({ kind: 'engineDoubted' }, ({ engine }) => engines.get(engine)?.doubt())
       .otherwise(({ kind }) => host.log('messageDropped', { from, kind }));
@@ -404,9 +474,7 @@
       createRepeater(host, USAGE_PAUSE_MS, () =>
         broadcast({ kind: 'usage', share: usage.getShare(host.now()) }),
       ),
-      createRepeater(host, REPEAT_STATES_MS, () =>
-        engines.forEach((engine) => engine.announce()),
-      ),
+      createRepeater(host, REPEAT_STATES_MS, () => engines.forEach((engine) => engine.announce())),
     ];
   }
 
--- a/src/gateway/Job.ts
+++ b/src/gateway/Job.ts
@@ -15,6 +15,9 @@
   /** Last event that the caller has of a stream that may be resumed. */
   lastEventId: number | undefined;
   firstByteAt: number | undefined;
+  lastByteAt: number | undefined;
+  /** Longest wait between two pieces of a stream's answer. */
+  longestPauseMs: number;
   isCallerGone: boolean;
   /** Ends what is under way now, since the caller has left. */
   leave: () => void;
--- a/src/gateway/createGateway.ts
+++ b/src/gateway/createGateway.ts
@@ -57,6 +57,8 @@
       isHeadWritten: false,
       lastEventId: undefined,
       firstByteAt: undefined,
+      lastByteAt: undefined,
+      longestPauseMs: 0,
       isCallerGone: false,
       leave: () => {},
     };
@@ -109,6 +111,7 @@
       sent,
       ms: Math.round(now - job.arrivedAt),
       firstMs: job.firstByteAt && Math.round(job.firstByteAt - job.arrivedAt),
+      pauseMs: Math.round(job.longestPauseMs),
     });
   }
 
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -113,11 +113,11 @@
         if (!head || isOver) {
           return;
         }
+        const now = host.now();
         if (job.firstByteAt === undefined || !isStreaming) {
-          const now = host.now();
-          job.firstByteAt ??= now;
           host.onFirstByte(now, head);
         }
+        notePiece(job, now);
         expectBytes();
         if (!isStreaming) {
           parts.push(chunk);
@@ -159,3 +159,12 @@
     }
   });
 }
+
+function notePiece(job: Job, now: number): void {
+  const pauseMs = now - (job.lastByteAt ?? now);
+  Object.assign(job, {
+    firstByteAt: job.firstByteAt ?? now,
+    lastByteAt: now,
+    longestPauseMs: Math.max(job.longestPauseMs, pauseMs),
+  });
+}
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -170,6 +170,17 @@
   z.object({ kind: z.literal('loadRefused'), engine: z.string(), key: z.string() }),
   /** An engine did not hold what its owner had announced. */
   z.object({ kind: z.literal('engineDoubted'), engine: z.string() }),
+  /** Asks the owner of an engine for a request's turn to have its prompt read. */
+  z.object({
+    kind: z.literal('turnWanted'),
+    engine: z.string(),
+    id: z.string(),
+    tokens: z.number(),
+    urgency: z.number(),
+    waitMs: z.number(),
+  }),
+  z.object({ kind: z.literal('turn'), id: z.string(), isGranted: z.boolean() }),
+  z.object({ kind: z.literal('turnOver'), engine: z.string(), id: z.string() }),
   /** The sender's requests by upstream: adapter, requests in progress, idle milliseconds. */
   z.object({
     kind: z.literal('usage'),
--- a/src/mirror/createMirror.ts
+++ b/src/mirror/createMirror.ts
@@ -179,7 +179,11 @@
     failedAt = host.now();
     if (!isDown && reason !== 'compacted') {
       isDown = true;
-      host.log('storeLost', { reason, revision, confirmedAgeMs: Math.round(failedAt - confirmedAt) });
+      host.log('storeLost', {
+        reason,
+        revision,
+        confirmedAgeMs: Math.round(failedAt - confirmedAt),
+      });
     }
   }
 
--- a/src/settings/readSettings.ts
+++ b/src/settings/readSettings.ts
@@ -1,7 +1,6 @@
 import type { z } from 'zod';
 import type Outcome from '../shared/Outcome';
 
-
 /** Returns the variable of a setting: `meshPort` is `BAOBABLINK_MESH_PORT`. */
 function getVariable(setting: string): string {
   return `BAOBABLINK_${setting.replace(/[A-Z]/g, (letter) => `_${letter}`).toUpperCase()}`;
--- /dev/null
+++ b/src/turns/TurnAsk.ts
@@ -0,0 +1,10 @@
+/** A request whose prompt is to be read by an engine. */
+interface TurnAsk {
+  id: string;
+  /** Tokens of its prompt. */
+  tokens: number;
+  /** 0 is the most urgent. */
+  urgency: number;
+}
+
+export default TurnAsk;
--- a/src/upstream/createConnections.ts
+++ b/src/upstream/createConnections.ts
@@ -77,12 +77,7 @@
     client.destroy();
   }
 
-  function dispatch(
-    client: Client,
-    group: Group,
-    message: Message,
-    exchange: Exchange,
-  ): Controls {
+  function dispatch(client: Client, group: Group, message: Message, exchange: Exchange): Controls {
     let controller: Dispatcher.DispatchController | undefined;
     let isOver = false;
     const end = (call: () => void) => {
