--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -90,7 +90,7 @@
     cancelTimer();
     let pauseMs: number | undefined = 0;
     while (pauseMs === 0 && !isStopped) {
-      // eslint-disable-next-line no-await-in-loop -- the engine's order count needs each answer
+       
       pauseMs = await step();
     }
     isWorking = false;
--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -59,7 +59,7 @@
       if (adapter === undefined) {
         return refuse('noUpstream');
       }
-      // eslint-disable-next-line no-await-in-loop -- what was loaded may be gone again at once
+       
       isLoaded = await waitForLoad(job, { model, adapter, key });
       if (job.isCallerGone) {
         break;
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -73,14 +73,13 @@
   const lastStates = new Map<string, EngineState>();
   let manifest: Manifest | undefined;
   let stateSequence = 0;
-  let stops: (() => void)[] = [];
 
   const mirror = createMirror({
     ...host,
     feed: host.keyValue,
     isReader: (now) =>
       rankByRendezvous('readers', members.getServing(now)).slice(0, READERS).includes(address),
-    spread: (news) => broadcast({ kind: 'news', ...news } as Message),
+    spread: (news) => broadcast({ kind: 'news', ...news }),
     askPeers: () => broadcast({ kind: 'newsWanted' }),
     onChange: applyChange,
   });
@@ -429,7 +428,7 @@
       .with({ kind: 'newsWanted' }, () => {
         const whole = mirror.getWhole();
         if (whole) {
-          host.send(from, { kind: 'news', ...whole } as Message);
+          host.send(from, { kind: 'news', ...whole });
         }
       })
       .with({ kind: 'usage' }, ({ share }) => usage.receive(now, from, share))
@@ -469,13 +468,11 @@
   function start(): void {
     mirror.start();
     members.start();
-    stops = [
-      createRepeater(host, OWNERSHIP_PAUSE_MS, () => ownerships.tick(getEngineIds())),
-      createRepeater(host, USAGE_PAUSE_MS, () =>
-        broadcast({ kind: 'usage', share: usage.getShare(host.now()) }),
-      ),
-      createRepeater(host, REPEAT_STATES_MS, () => engines.forEach((engine) => engine.announce())),
-    ];
+    createRepeater(host, OWNERSHIP_PAUSE_MS, () => ownerships.tick(getEngineIds()));
+    createRepeater(host, USAGE_PAUSE_MS, () =>
+      broadcast({ kind: 'usage', share: usage.getShare(host.now()) }),
+    );
+    createRepeater(host, REPEAT_STATES_MS, () => engines.forEach((engine) => engine.announce()));
   }
 
   function getEngineIds(): string[] {
@@ -512,17 +509,10 @@
     await members.release();
   }
 
-  async function stop(): Promise<void> {
-    stops.forEach((end) => end());
-    engines.forEach((engine) => engine.stop());
-    mirror.stop();
-    await members.stop();
-  }
-
   return {
     start,
     leave,
-    stop,
+    refuseLong: gateway.refuseLong,
     receive,
     isReady,
     getCallerAddresses,
--- a/src/gateway/createGateway.ts
+++ b/src/gateway/createGateway.ts
@@ -15,6 +15,8 @@
 import writeRefusal from './writeRefusal';
 
 const NOT_READY_RETRY_MS = 500;
+/** Another VM serves a caller that comes back at once. */
+const LEAVING_RETRY_MS = 50;
 
 interface GatewayHost extends Time {
   getManifest(): Manifest | undefined;
@@ -31,6 +33,7 @@
 /** The filter chain of a caller's request: manifest, route, deadline, then service. */
 export default function createGateway(host: GatewayHost) {
   let inFlight = 0;
+  let isLongRefused = false;
 
   /** Serves one request; the answer tells it that the caller has left. */
   function handle(arrivedAt: number, call: Call, reply: Reply): () => void {
@@ -45,6 +48,10 @@
       refuse(call, reply, { kind: 'noRoute' });
       return () => {};
     }
+    if (isLongRefused && route.kind === 'stream') {
+      refuse(call, reply, { kind: 'notReady', retryAfterMs: LEAVING_RETRY_MS });
+      return () => {};
+    }
     const service = pickTarget(route, host.random());
     const patienceMs = Math.min(route.timeoutMs, call.deadlineMs ?? Infinity);
     const job: Job = {
@@ -128,5 +135,10 @@
     });
   }
 
-  return { handle, refuse, getInFlight: () => inFlight };
+  /** Refuses streams from now on: they would not end before this VM does. */
+  function refuseLong(): void {
+    isLongRefused = true;
+  }
+
+  return { handle, refuse, refuseLong, getInFlight: () => inFlight };
 }
--- a/src/gateway/serveCall.ts
+++ b/src/gateway/serveCall.ts
@@ -43,7 +43,7 @@
     job.route.kind === 'idempotent' || (job.route.kind === 'stream' && job.route.isResumable);
 
   for (;;) {
-    // eslint-disable-next-line no-await-in-loop -- each attempt follows from the one before
+     
     const placed = await host.place(job, avoid);
     if (job.isCallerGone) {
       return { kind: 'callerLeft' };
@@ -52,7 +52,7 @@
       return sent > notRun ? giveUp('noPlaceLeft') : refuse(placed.error);
     }
     const place = placed.value;
-    // eslint-disable-next-line no-await-in-loop
+     
     const outcome = await host.attempt(job, place, sent + 1 - notRun >= job.route.attempts);
     if (outcome.kind !== 'notSent') {
       sent += 1;
--- a/src/mirror/createMirror.ts
+++ b/src/mirror/createMirror.ts
@@ -50,9 +50,9 @@
 
   async function run(): Promise<void> {
     while (!isStopped) {
-      // eslint-disable-next-line no-await-in-loop -- one read at a time
+       
       const pauseMs = await step();
-      // eslint-disable-next-line no-await-in-loop
+       
       await new Promise<void>((resolve) => {
         host.setTimer(pauseMs, resolve);
       });
@@ -77,7 +77,7 @@
     let lowest = Infinity;
     let more = true;
     while (more) {
-      // eslint-disable-next-line no-await-in-loop -- each page starts where the last one ended
+       
       const page = await host.feed.list({ prefix: '', after });
       if (!page.ok) {
         noteFailure(page.error.kind);
--- a/src/upstream/createConnections.ts
+++ b/src/upstream/createConnections.ts
@@ -88,7 +88,7 @@
     };
     client.dispatch(
       {
-        method: message.method as Dispatcher.HttpMethod,
+        method: message.method,
         path: message.path,
         headers: message.headers,
         body: message.body,
