--- a/src/engines/Home.ts
+++ b/src/engines/Home.ts
@@ -5,8 +5,9 @@
   pending: number;
   inFlight: number;
   slots: number;
-  /** Whether every place holds an adapter. */
-  isFull: boolean;
+  /** Places that hold no adapter, and places whose adapter no request uses. */
+  freePlaces: number;
+  idlePlaces: number;
 }
 
 export default Home;
--- a/src/engines/chooseHome.ts
+++ b/src/engines/chooseHome.ts
@@ -10,7 +10,7 @@
 
 /**
  * Chooses the engine that loads an adapter: its first home by rendezvous hashing, the next one
- * where that has no room. Answers many adapters asked for in turn on few places.
+ * where that has no room; none where no engine has. Answers many adapters asked for in turn on few places.
  */
 export default function chooseHome(key: string, homes: readonly Home[]): Home | undefined {
   const byId = new Map(homes.map((home) => [home.id, home]));
@@ -19,12 +19,13 @@
     homes.map((home) => home.id),
   ).map((id) => byId.get(id)!);
   const hasRoom = (home: Home) =>
-    home.pending < MAX_PENDING && home.inFlight < home.slots * MAX_FILL;
+    home.pending < MAX_PENDING &&
+    home.pending < home.freePlaces + home.idlePlaces &&
+    home.inFlight < home.slots * MAX_FILL;
   const preferred = ranked.slice(0, HOMES).filter(hasRoom);
   return (
-    preferred.find((home) => !home.isFull) ??
+    preferred.find((home) => home.freePlaces > home.pending) ??
     preferred[0] ??
-    ranked.find(hasRoom) ??
-    [...ranked].sort((left, right) => left.pending - right.pending)[0]
+    ranked.find(hasRoom)
   );
 }
--- a/src/engines/chooseOrder.ts
+++ b/src/engines/chooseOrder.ts
@@ -3,8 +3,8 @@
 
 /** Loads that may be on their way to one engine at once; the engines' own limit. */
 const MAX_LOADING = 4;
-/** An adapter used this recently stays: its callers are likely to come back within a stream. */
-const MIN_IDLE_MS = 600;
+/** News of the other VMs' requests is this old; an adapter used since may be in use. */
+const MIN_IDLE_MS = 300;
 
 interface View {
   slots: readonly Slot[];
--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -180,7 +180,12 @@
                 pending: view.queued + loading,
                 inFlight: usage.getInFlight(now, upstream.id),
                 slots: upstream.slots,
-                isFull: view.adapters.length >= places,
+                freePlaces: places - view.adapters.length,
+                idlePlaces: view.adapters.filter(
+                  (adapter) =>
+                    adapter.state === 'resident' &&
+                    usage.getUse(now, upstream.id, adapter.key).inFlight === 0,
+                ).length,
               },
             ];
       });
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -44,6 +44,8 @@
 const READ_TOKENS_PER_MS = 25;
 /** Part of the latency objective within which a request may wait for its turn. */
 const TURN_SHARE = 0.85;
+/** For routes that state no objective on pauses. */
+const DEFAULT_PAUSE_MS = 300;
 const URGENCY_STEP = 2;
 const MAX_URGENCY = 9;
 /** Characters shown of an entry that can't be read. */
@@ -271,14 +273,14 @@
   /** Waits until the engine has room to read the prompt, while that is in time. */
   async function takeTurn(job: Job, engine: string): Promise<void> {
     const now = host.now();
-    const { latencyObjectiveMs, urgency } = job.route;
+    const { latencyObjectiveMs, urgency, pauseObjectiveMs: pauseMs = DEFAULT_PAUSE_MS } = job.route;
     const readMs = job.call.promptTokens / READ_TOKENS_PER_MS;
     const waitMs = job.arrivedAt + latencyObjectiveMs * TURN_SHARE - readMs - now;
     if (waitMs <= 0) {
       return;
     }
     Object.assign(job, { leave: () => turnTaker.leave(job.call.id) });
-    const asked = { id: job.call.id, tokens: job.call.promptTokens, urgency };
+    const asked = { id: job.call.id, tokens: job.call.promptTokens, urgency, pauseMs };
     await turnTaker.take(engine, asked, Math.round(waitMs));
   }
 
@@ -290,7 +292,7 @@
   }
 
   function getTurns(engine: string): ReturnType<typeof createTurns> {
-    const known = turns.get(engine) ?? createTurns();
+    const known = turns.get(engine) ?? createTurns(host.setTimer);
     turns.set(engine, known);
     return known;
   }
@@ -448,9 +450,10 @@
         const needed = Math.max(version, getVersion(getAdapterKey(model, adapter)));
         engine.want({ model, adapter, version: needed, urgency, expiresAt: now + waitMs }, from);
       })
-      .with({ kind: 'turnWanted' }, ({ engine, id, tokens, urgency, waitMs }) => {
+      .with({ kind: 'turnWanted' }, ({ engine, waitMs, id, tokens, urgency, pauseMs }) => {
         let isGranted = false;
-        getTurns(engine).ask(now, { id, tokens, urgency }, waitMs, () => {
+        const asked = { id, tokens, urgency, pauseMs };
+        getTurns(engine).ask(now, asked, waitMs, () => {
           isGranted = true;
           sendOrDeliver(from, { kind: 'turn', id, isGranted });
         });
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -177,6 +177,7 @@
     id: z.string(),
     tokens: z.number(),
     urgency: z.number(),
+    pauseMs: z.number(),
     waitMs: z.number(),
   }),
   z.object({ kind: z.literal('turn'), id: z.string(), isGranted: z.boolean() }),
