Bound the load of homes, copy much used adapters, take own engines back at once

Cause: after an engine had come back its adapters stayed where they were; one engine had 819 requests and another 492. A restarted VM waited 1.5 s before it took its own engines back. Change: a home is passed over at 1.25 times the mean load; an adapter with three requests in progress on an engine of 1.3 times the mean is copied; owners tell how much waits to be read, and the choice counts it.

--- a/src/engines/Home.ts
+++ b/src/engines/Home.ts
@@ -5,6 +5,8 @@
   pending: number;
   inFlight: number;
   slots: number;
+  /** Time that the prompts before this one take to be read there, in milliseconds. */
+  waitMs: number;
   /** Places that hold no adapter, and places whose adapter no request uses. */
   freePlaces: number;
   idlePlaces: number;
--- a/src/engines/chooseHome.ts
+++ b/src/engines/chooseHome.ts
@@ -5,6 +5,11 @@
 const MAX_PENDING = 4;
 /** Above this share of its slots an engine takes no further adapter while others have room. */
 const MAX_FILL = 0.8;
+/** An engine with this many times the mean of requests in progress takes no further adapter. */
+const MAX_LOAD = 1.25;
+/** Differences of a few requests are chance. */
+const LOAD_SLACK = 3;
+const MAX_WAIT_MS = 150;
 /** Homes that an adapter returns to: where it was lately, it loads ten times as fast. */
 const HOMES = 2;
 
@@ -18,14 +23,20 @@
     key,
     homes.map((home) => home.id),
   ).map((id) => byId.get(id)!);
-  const hasRoom = (home: Home) =>
+  const mean = homes.reduce((sum, home) => sum + home.inFlight, 0) / Math.max(1, homes.length);
+  const hasPlace = (home: Home) =>
     home.pending < MAX_PENDING &&
     home.pending < home.freePlaces + home.idlePlaces &&
     home.inFlight < home.slots * MAX_FILL;
+  const hasRoom = (home: Home) =>
+    hasPlace(home) &&
+    home.inFlight <= mean * MAX_LOAD + LOAD_SLACK &&
+    home.waitMs <= MAX_WAIT_MS;
   const preferred = ranked.slice(0, HOMES).filter(hasRoom);
   return (
     preferred.find((home) => home.freePlaces > home.pending) ??
     preferred[0] ??
-    ranked.find(hasRoom)
+    ranked.find(hasRoom) ??
+    ranked.find(hasPlace)
   );
 }
--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -52,12 +52,12 @@
     const now = host.now();
     [...owned.keys()].forEach((engine) => {
       const record = tryGetRecord(engine);
-      const isOurs = record === undefined || isOwn(record);
+      const isOurs = record === undefined || record.holder === options.address;
       if (!isOurs || !engines.includes(engine)) {
         lose(engine, isOurs ? 'engine gone' : 'taken by another');
       }
     });
-    if (host.members.isLeaving() || !host.members.hasLease(now) || now - startedAt < SETTLE_MS) {
+    if (host.members.isLeaving() || !host.members.hasLease(now)) {
       return;
     }
     engines
@@ -75,6 +75,9 @@
     if (record?.holder === options.address) {
       return true;
     }
+    if (now - startedAt < SETTLE_MS) {
+      return false;
+    }
     const isHeld = record && host.mirror.tryGet(`${MEMBER_PREFIX}${record.holder}`);
     return !isHeld && rankByRendezvous(engine, host.members.getServing(now))[0] === options.address;
   }
@@ -127,11 +130,6 @@
     return { holder, incarnation, revision: entry.revision };
   }
 
-  /** Whether a record is the one that this VM wrote, or one older than that. */
-  function isOwn(record: { holder: string; revision: number }): boolean {
-    return record.holder === options.address;
-  }
-
   /** The fencing number for an order that is sent now; undefined while none may be sent. */
   function tryGetFence(now: number, engine: string): number | undefined {
     const ownership = owned.get(engine);
--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -17,8 +17,18 @@
 
 /** Beyond its slots an engine queues; a queue of this share is served within its objective. */
 const MAX_ENGINE_FILL = 1.1;
-/** Above this share of its slots an engine's adapter earns a copy on another engine. */
-const COPY_FILL = 0.7;
+/** An adapter earns a copy where its engine has this many times the mean of requests in progress. */
+const COPY_LOAD = 1.3;
+/** Differences of a few requests are chance. */
+const LOAD_SLACK = 4;
+/** A copy pays when at least so many requests share it. */
+const MIN_COPY_USE = 3;
+/** Copies that this VM asks for, at most one in this time. */
+const COPY_PAUSE_MS = 200;
+/** Tokens of prompts that an engine reads in a millisecond beside its streams. */
+const READ_TOKENS_PER_MS = 25;
+/** Copies are loaded after what requests wait for. */
+const COPY_URGENCY = 5;
 const REFUSED_RETRY_MS = 400;
 /** Answers of refused requests are spread over this time. */
 const RETRY_SPREAD_MS = 600;
@@ -26,6 +36,8 @@
 interface PlacementHost extends Time {
   getManifest(): Manifest | undefined;
   getVersion(key: string): number;
+  /** Prompt tokens that wait at an engine. */
+  getBacklog(engine: string): number;
   random(): number;
 }
 
@@ -42,6 +54,7 @@
   options: { dataCentre: string },
 ) {
   const { upstreams, usage, health, views } = parts;
+  let copiedAt = -Infinity;
 
   async function place(job: Job, avoid: ReadonlySet<string>): Promise<Outcome<Place, Refusal>> {
     const { model, adapter } = job.call;
@@ -93,10 +106,8 @@
       return undefined;
     }
     const { model, adapter } = job.call;
-    const isCopyWorth =
-      chosen.inFlight >= chosen.slots * COPY_FILL && holders.length < ready.length;
-    if (isCopyWorth && adapter !== undefined) {
-      parts.getLoads().want({ model: model!, adapter, key, version, urgency: 1 }, () => {});
+    if (adapter !== undefined && holders.length < ready.length) {
+      copyWhereLoaded(now, chosen, ready, { model: model!, adapter, key, version });
     }
     if (chosen.inFlight >= chosen.slots * MAX_ENGINE_FILL) {
       return refuse('busy');
@@ -105,6 +116,23 @@
     return { ok: true, value: { upstream, version: stated, inFlight: chosen.inFlight } };
   }
 
+  /** Has a much used adapter loaded on another engine where its own has too much to do. */
+  function copyWhereLoaded(
+    now: number,
+    chosen: Candidate,
+    ready: readonly Upstream[],
+    ask: { model: string; adapter: string; key: string; version: number },
+  ): void {
+    const total = ready.reduce((sum, { id }) => sum + usage.getInFlight(now, id), 0);
+    const mean = total / ready.length;
+    const isLoaded = chosen.inFlight > mean * COPY_LOAD + LOAD_SLACK;
+    const isMuchUsed = usage.getUse(now, chosen.id, ask.key).inFlight >= MIN_COPY_USE;
+    if (isLoaded && isMuchUsed && now - copiedAt > COPY_PAUSE_MS) {
+      copiedAt = now;
+      parts.getLoads().want({ ...ask, urgency: COPY_URGENCY }, () => {});
+    }
+  }
+
   function waitForLoad(
     job: Job,
     ask: { model: string; adapter: string; key: string },
@@ -143,6 +171,7 @@
         id,
         dataCentre,
         slots,
+        waitMs: host.getBacklog(id) / READ_TOKENS_PER_MS,
         inFlight: usage.getInFlight(now, id),
         failureShare: health.getFailureShare(now, id),
         slowness: health.getSlowness(id, ids),
@@ -180,6 +209,7 @@
                 pending: view.queued + loading,
                 inFlight: usage.getInFlight(now, upstream.id),
                 slots: upstream.slots,
+                waitMs: host.getBacklog(upstream.id) / READ_TOKENS_PER_MS,
                 freePlaces: places - view.adapters.length,
                 idlePlaces: view.adapters.filter(
                   (adapter) =>
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -123,6 +123,7 @@
       views.remove(id);
       health.forget(id);
       turns.delete(id);
+      backlogs.delete(id);
       closeEngine(id);
     },
   });
@@ -141,6 +142,7 @@
       ...host,
       getManifest: () => manifest,
       getVersion,
+      getBacklog: (engine) => backlogs.get(engine) ?? 0,
     },
     { upstreams, usage, health, views, getLoads: () => loads },
     options,
@@ -167,6 +169,7 @@
         .getAll()
         .some(({ id, state }) => state === 'ready' && views.isResident(id, ask.key, ask.version)),
   });
+  const backlogs = new Map<string, number>();
   const turns = new Map<string, ReturnType<typeof createTurns>>();
   const turnTaker = createTurnTaker({
     ...host,
@@ -291,6 +294,14 @@
     }
   }
 
+  function getBacklogs(): [string, number][] {
+    const own = [...turns]
+      .filter(([engine]) => engines.has(engine))
+      .map(([engine, known]): [string, number] => [engine, known.getBacklog()]);
+    own.forEach(([engine, tokens]) => backlogs.set(engine, tokens));
+    return own;
+  }
+
   function getTurns(engine: string): ReturnType<typeof createTurns> {
     const known = turns.get(engine) ?? createTurns(host.setTimer);
     turns.set(engine, known);
@@ -433,7 +444,10 @@
           host.send(from, { kind: 'news', ...whole });
         }
       })
-      .with({ kind: 'usage' }, ({ share }) => usage.receive(now, from, share))
+      .with({ kind: 'usage' }, ({ share, backlogs: told }) => {
+        usage.receive(now, from, share);
+        told.forEach(([engine, tokens]) => backlogs.set(engine, tokens));
+      })
       .with({ kind: 'engineState' }, (state) => {
         if (views.announce(state)) {
           loads.notice();
@@ -473,7 +487,7 @@
     members.start();
     createRepeater(host, OWNERSHIP_PAUSE_MS, () => ownerships.tick(getEngineIds()));
     createRepeater(host, USAGE_PAUSE_MS, () =>
-      broadcast({ kind: 'usage', share: usage.getShare(host.now()) }),
+      broadcast({ kind: 'usage', share: usage.getShare(host.now()), backlogs: getBacklogs() }),
     );
     createRepeater(host, REPEAT_STATES_MS, () => engines.forEach((engine) => engine.announce()));
   }
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -185,6 +185,8 @@
   /** The sender's requests by upstream: adapter, requests in progress, idle milliseconds. */
   z.object({
     kind: z.literal('usage'),
+    /** Prompt tokens that wait at the engines that the sender owns. */
+    backlogs: z.array(z.tuple([z.string(), z.number()])),
     share: z.array(
       z.object({
         upstream: z.string(),
--- a/src/upstream/Candidate.ts
+++ b/src/upstream/Candidate.ts
@@ -5,6 +5,8 @@
   slots: number;
   /** Requests in progress there, from all VMs. */
   inFlight: number;
+  /** Time that the prompts before this one take to be read there, in milliseconds. */
+  waitMs: number;
   /** Share of recent requests that failed, 0 to 1. */
   failureShare: number;
   /** Recent answer time against that of its peers; 1 is as fast as they are. */
