Count turns in reading time, and let late requests yield

Cause: a prompt costs an engine more than its tokens (a fixed part, and pairs of tokens), and a request whose turn had not come went without, which made sixty streams wait. Change: turns are bounded by the time for which a prompt stops an engine's streams; a request that can't be on time any more waits behind those that can.

--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -25,8 +25,6 @@
 const MIN_COPY_USE = 3;
 /** Copies that this VM asks for, at most one in this time. */
 const COPY_PAUSE_MS = 200;
-/** Tokens of prompts that an engine reads in a millisecond beside its streams. */
-const READ_TOKENS_PER_MS = 25;
 /** Copies are loaded after what requests wait for. */
 const COPY_URGENCY = 5;
 const REFUSED_RETRY_MS = 400;
@@ -36,8 +34,8 @@
 interface PlacementHost extends Time {
   getManifest(): Manifest | undefined;
   getVersion(key: string): number;
-  /** Prompt tokens that wait at an engine. */
-  getBacklog(engine: string): number;
+  /** Time that the prompts which wait at an engine take to be read. */
+  getBacklogMs(engine: string): number;
   random(): number;
 }
 
@@ -171,7 +169,7 @@
         id,
         dataCentre,
         slots,
-        waitMs: host.getBacklog(id) / READ_TOKENS_PER_MS,
+        waitMs: host.getBacklogMs(id),
         inFlight: usage.getInFlight(now, id),
         failureShare: health.getFailureShare(now, id),
         slowness: health.getSlowness(id, ids),
@@ -209,7 +207,7 @@
                 pending: view.queued + loading,
                 inFlight: usage.getInFlight(now, upstream.id),
                 slots: upstream.slots,
-                waitMs: host.getBacklog(upstream.id) / READ_TOKENS_PER_MS,
+                waitMs: host.getBacklogMs(upstream.id),
                 freePlaces: places - view.adapters.length,
                 idlePlaces: view.adapters.filter(
                   (adapter) =>
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -25,6 +25,7 @@
 import type Upstream from '../upstream/Upstream';
 import createTurns from '../turns/createTurns';
 import createTurnTaker from '../turns/createTurnTaker';
+import getReadMs from '../turns/getReadMs';
 import createUsage from '../usage/createUsage';
 import createPlacement from './createPlacement';
 import type RoutedEntryHost from './RoutedEntryHost';
@@ -40,10 +41,10 @@
 const MIN_SILENCE_MS = 1000;
 /** A caller that leaves after this long without a byte has found a silent upstream. */
 const SILENT_MS = 1500;
-/** Tokens of a prompt that an engine reads in a millisecond beside its streams. */
-const READ_TOKENS_PER_MS = 25;
-/** Part of the latency objective within which a request may wait for its turn. */
-const TURN_SHARE = 0.85;
+/** Time to the first event beside the reading of the prompt. */
+const ON_TIME_MARGIN_MS = 80;
+/** Callers leave a stream that is silent for 2 s; a request does not wait for its turn as long. */
+const MAX_TURN_MS = 1500;
 /** For routes that state no objective on pauses. */
 const DEFAULT_PAUSE_MS = 300;
 const URGENCY_STEP = 2;
@@ -142,7 +143,7 @@
       ...host,
       getManifest: () => manifest,
       getVersion,
-      getBacklog: (engine) => backlogs.get(engine) ?? 0,
+      getBacklogMs: (engine) => backlogs.get(engine) ?? 0,
     },
     { upstreams, usage, health, views, getLoads: () => loads },
     options,
@@ -277,14 +278,17 @@
   async function takeTurn(job: Job, engine: string): Promise<void> {
     const now = host.now();
     const { latencyObjectiveMs, urgency, pauseObjectiveMs: pauseMs = DEFAULT_PAUSE_MS } = job.route;
-    const readMs = job.call.promptTokens / READ_TOKENS_PER_MS;
-    const waitMs = job.arrivedAt + latencyObjectiveMs * TURN_SHARE - readMs - now;
+    const { id, promptTokens: tokens } = job.call;
+    const spentMs = now - job.arrivedAt;
+    const onTimeMs = latencyObjectiveMs - getReadMs(tokens) - ON_TIME_MARGIN_MS - spentMs;
+    const waitMs = Math.min(MAX_TURN_MS, job.deadlineAt - now) - spentMs;
     if (waitMs <= 0) {
       return;
     }
     Object.assign(job, { leave: () => turnTaker.leave(job.call.id) });
-    const asked = { id: job.call.id, tokens: job.call.promptTokens, urgency, pauseMs };
+    const asked = { id, tokens, urgency, onTimeMs: Math.round(onTimeMs), pauseMs };
     await turnTaker.take(engine, asked, Math.round(waitMs));
+    Object.assign(job, { turnMs: job.turnMs + host.now() - now });
   }
 
   function endTurn(engine: string, id: string): void {
@@ -297,8 +301,8 @@
   function getBacklogs(): [string, number][] {
     const own = [...turns]
       .filter(([engine]) => engines.has(engine))
-      .map(([engine, known]): [string, number] => [engine, known.getBacklog()]);
-    own.forEach(([engine, tokens]) => backlogs.set(engine, tokens));
+      .map(([engine, known]): [string, number] => [engine, known.getBacklogMs()]);
+    own.forEach(([engine, waitMs]) => backlogs.set(engine, waitMs));
     return own;
   }
 
@@ -446,7 +450,7 @@
       })
       .with({ kind: 'usage' }, ({ share, backlogs: told }) => {
         usage.receive(now, from, share);
-        told.forEach(([engine, tokens]) => backlogs.set(engine, tokens));
+        told.forEach(([engine, waitMs]) => backlogs.set(engine, waitMs));
       })
       .with({ kind: 'engineState' }, (state) => {
         if (views.announce(state)) {
@@ -464,15 +468,14 @@
         const needed = Math.max(version, getVersion(getAdapterKey(model, adapter)));
         engine.want({ model, adapter, version: needed, urgency, expiresAt: now + waitMs }, from);
       })
-      .with({ kind: 'turnWanted' }, ({ engine, waitMs, id, tokens, urgency, pauseMs }) => {
+      .with({ kind: 'turnWanted' }, ({ engine, waitMs, kind: _, ...asked }) => {
         let isGranted = false;
-        const asked = { id, tokens, urgency, pauseMs };
         getTurns(engine).ask(now, asked, waitMs, () => {
           isGranted = true;
-          sendOrDeliver(from, { kind: 'turn', id, isGranted });
+          sendOrDeliver(from, { kind: 'turn', id: asked.id, isGranted });
         });
         if (!isGranted) {
-          sendOrDeliver(from, { kind: 'turn', id, isGranted });
+          sendOrDeliver(from, { kind: 'turn', id: asked.id, isGranted });
         }
       })
       .with({ kind: 'turn' }, ({ id, isGranted }) => turnTaker.receive(id, isGranted))
--- a/src/gateway/Job.ts
+++ b/src/gateway/Job.ts
@@ -16,6 +16,8 @@
   lastEventId: number | undefined;
   firstByteAt: number | undefined;
   lastByteAt: number | undefined;
+  /** Time spent waiting for turns at engines. */
+  turnMs: number;
   /** Longest wait between two pieces of a stream's answer. */
   longestPauseMs: number;
   isCallerGone: boolean;
--- a/src/gateway/createGateway.ts
+++ b/src/gateway/createGateway.ts
@@ -65,6 +65,7 @@
       lastEventId: undefined,
       firstByteAt: undefined,
       lastByteAt: undefined,
+      turnMs: 0,
       longestPauseMs: 0,
       isCallerGone: false,
       leave: () => {},
@@ -118,6 +119,8 @@
       sent,
       ms: Math.round(now - job.arrivedAt),
       firstMs: job.firstByteAt && Math.round(job.firstByteAt - job.arrivedAt),
+      tokens: job.call.promptTokens,
+      turnMs: Math.round(job.turnMs),
       pauseMs: Math.round(job.longestPauseMs),
     });
   }
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -177,6 +177,7 @@
     id: z.string(),
     tokens: z.number(),
     urgency: z.number(),
+    onTimeMs: z.number(),
     pauseMs: z.number(),
     waitMs: z.number(),
   }),
@@ -185,7 +186,7 @@
   /** The sender's requests by upstream: adapter, requests in progress, idle milliseconds. */
   z.object({
     kind: z.literal('usage'),
-    /** Prompt tokens that wait at the engines that the sender owns. */
+    /** Milliseconds of prompts that wait at the engines that the sender owns. */
     backlogs: z.array(z.tuple([z.string(), z.number()])),
     share: z.array(
       z.object({
--- a/src/turns/TurnAsk.ts
+++ b/src/turns/TurnAsk.ts
@@ -5,6 +5,8 @@
   tokens: number;
   /** 0 is the most urgent. */
   urgency: number;
+  /** Time for which it may wait and still be on time. */
+  onTimeMs: number;
   /** Longest pause between two events that its route allows. */
   pauseMs: number;
 }
--- a/src/turns/createTurns.ts
+++ b/src/turns/createTurns.ts
@@ -1,15 +1,14 @@
+import getReadMs from './getReadMs';
 import type TurnAsk from './TurnAsk';
 
-/** Tokens of prompts that an engine reads in a millisecond when it does nothing else. */
-const READ_TOKENS_PER_MS = 38;
 /** Time of the five steps that make one event of a stream. */
-const EVENT_MS = 35;
+const EVENT_MS = 40;
 /** Part of what fits between two events that is given as turns. */
 const USED_SHARE = 0.9;
-/** Tokens given turns at once after a pause. */
-const BURST_TOKENS = 1300;
-/** Tokens that may wait to be read at the engine itself: a slow one gets no more turns. */
-const MAX_UNREAD_TOKENS = 2400;
+/** Reading time given at once after a pause. */
+const BURST_MS = 35;
+/** Reading time that may wait at the engine itself: a slow one gets no more turns. */
+const MAX_UNREAD_MS = 75;
 /** A turn whose end was not told, since its VM has died, is over after this. */
 const LOST_MS = 1500;
 
@@ -24,18 +23,17 @@
  * read, the urgent first. Answers bursts of prompts, which stop all streams of an engine.
  */
 export default function createTurns(schedule: (delayMs: number, callback: () => void) => void) {
-  let tokensPerMs = Infinity;
-  const running = new Map<string, { tokens: number; since: number }>();
+  let share = 1;
+  const running = new Map<string, { readMs: number; since: number }>();
   let waiting: Waiting[] = [];
-  let credit = BURST_TOKENS;
+  let credit = BURST_MS;
   let creditAt = -Infinity;
   let isScheduled = false;
 
   /** Asks for a turn; `onGranted` is called at once or when it comes. */
   function ask(now: number, asked: TurnAsk, waitMs: number, onGranted: () => void): void {
-    tokensPerMs = Math.min(tokensPerMs, getRate(asked.pauseMs));
+    share = Math.min(share, getShare(asked.pauseMs));
     waiting.push({ ...asked, since: now, expiresAt: now + waitMs, onGranted });
-    waiting.sort((left, right) => left.urgency - right.urgency || left.since - right.since);
     grant(now);
   }
 
@@ -53,17 +51,23 @@
       }
     });
     waiting = waiting.filter((other) => other.expiresAt > now);
-    credit = Math.min(BURST_TOKENS, credit + (now - creditAt) * tokensPerMs);
+    waiting.sort(
+      (left, right) =>
+        Number(isLate(now, left)) - Number(isLate(now, right)) ||
+        left.urgency - right.urgency ||
+        left.since - right.since,
+    );
+    credit = Math.min(BURST_MS, credit + (now - creditAt) * share);
     creditAt = now;
     while (waiting.length > 0 && credit > 0 && hasRoom(waiting[0])) {
       const next = waiting.shift()!;
-      credit -= next.tokens;
-      running.set(next.id, { tokens: next.tokens, since: now });
+      credit -= getReadMs(next.tokens);
+      running.set(next.id, { readMs: getReadMs(next.tokens), since: now });
       next.onGranted();
     }
     if (waiting.length > 0 && credit <= 0 && !isScheduled) {
       isScheduled = true;
-      const delayMs = Math.ceil(-credit / tokensPerMs) + 1;
+      const delayMs = Math.ceil(-credit / share) + 1;
       schedule(delayMs, () => {
         isScheduled = false;
         grant(now + delayMs);
@@ -72,26 +76,30 @@
   }
 
   function hasRoom(next: Waiting): boolean {
-    return running.size === 0 || getUnread() + next.tokens <= MAX_UNREAD_TOKENS;
+    return running.size === 0 || getUnreadMs() + getReadMs(next.tokens) <= MAX_UNREAD_MS;
   }
 
-  function getUnread(): number {
-    return [...running.values()].reduce((sum, turn) => sum + turn.tokens, 0);
+  function getUnreadMs(): number {
+    return [...running.values()].reduce((sum, turn) => sum + turn.readMs, 0);
   }
 
-  /** Tokens of the prompts that wait or are being read. */
-  function getBacklog(): number {
-    return waiting.reduce((sum, other) => sum + other.tokens, getUnread());
+  /** Time that the prompts that wait or are being read take. */
+  function getBacklogMs(): number {
+    return waiting.reduce((sum, other) => sum + getReadMs(other.tokens), getUnreadMs());
   }
 
-  return { ask, finish, getBacklog };
+  return { ask, finish, getBacklogMs };
+}
+
+/** Whether a request is late in any case: it yields to those that can be on time. */
+function isLate(now: number, waiting: Waiting): boolean {
+  return now > waiting.since + waiting.onTimeMs;
 }
 
 /**
- * Tokens a millisecond of which a burst and a pause's worth can be read between two events of a
+ * Part of the time of which a burst and a pause's worth can be read between two events of a
  * stream without making the pause longer than allowed.
  */
-function getRate(pauseMs: number): number {
-  const fitting = (pauseMs - EVENT_MS) * READ_TOKENS_PER_MS * USED_SHARE;
-  return Math.max(1, (fitting - BURST_TOKENS) / pauseMs);
+function getShare(pauseMs: number): number {
+  return Math.max(0.1, ((pauseMs - EVENT_MS) * USED_SHARE - BURST_MS) / pauseMs);
 }
