Take an answer that only its connection's end frames as broken after a reset

Change: the connection notes a reset before the client hears of it; such an answer is lost, not whole.

--- a/src/upstream/createConnections.ts
+++ b/src/upstream/createConnections.ts
@@ -1,4 +1,4 @@
-import { Client } from 'undici';
+import { buildConnector, Client } from 'undici';
 import type { Dispatcher } from 'undici';
 import type Exchange from './Exchange';
 
@@ -21,8 +21,14 @@
   resume(): void;
 }
 
+interface Connection {
+  client: Client;
+  /** Whether the other end has reset it: an answer that only the end of it frames is not whole. */
+  isReset: boolean;
+}
+
 interface Group {
-  idle: Client[];
+  idle: Connection[];
   open: number;
 }
 
@@ -41,35 +47,44 @@
   ): Controls | undefined {
     const group = groups.get(address) ?? { idle: [], open: 0 };
     groups.set(address, group);
-    const client = group.idle.pop() ?? open(address, group, maxConnections);
-    return client && dispatch(client, group, message, exchange);
+    const connection = group.idle.pop() ?? open(address, group, maxConnections);
+    return connection && dispatch(connection, group, message, exchange);
   }
 
-  function open(address: string, group: Group, maxConnections: number): Client | undefined {
+  function open(address: string, group: Group, maxConnections: number): Connection | undefined {
     if (group.open >= maxConnections) {
       return undefined;
     }
     group.open += 1;
     onOpened();
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     const client = new Client(`http://${address}`, {
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: (options, callback) =>
+        connect(options, (...result) => {
+          result[1]?.on('error', () => {
+            connection.isReset = true;
+          });
+          callback(...result);
+        }),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
       maxHeaderSize: MAX_HEADER_BYTES,
       strictContentLength: false,
     });
-    client.on('disconnect', () => drop(client, group));
-    return client;
+    const connection: Connection = { client, isReset: false };
+    client.on('disconnect', () => drop(connection, group));
+    return connection;
   }
 
   /** Forgets a connection that has ended. */
-  function drop(client: Client, group: Group): void {
+  function drop(connection: Connection, group: Group): void {
+    const { client } = connection;
     if (client.destroyed) {
       return;
     }
-    const idle = group.idle.indexOf(client);
+    const idle = group.idle.indexOf(connection);
     if (idle >= 0) {
       group.idle.splice(idle, 1);
     }
@@ -77,7 +92,9 @@
     client.destroy();
   }
 
-  function dispatch(client: Client, group: Group, message: Message, exchange: Exchange): Controls {
+  function dispatch(
+    connection: Connection, group: Group, message: Message, exchange: Exchange): Controls {
+    const { client } = connection;
     let controller: Dispatcher.DispatchController | undefined;
     let isOver = false;
     const end = (call: () => void) => {
@@ -111,13 +128,17 @@
           }
         },
         onResponseEnd: () => {
+          if (connection.isReset) {
+            end(() => exchange.onError({ kind: 'lost', reason: 'reset' }));
+            return;
+          }
           if (!client.destroyed) {
-            group.idle.push(client);
+            group.idle.push(connection);
           }
           end(exchange.onEnd);
         },
         onResponseError: (_, error) => {
-          drop(client, group);
+          drop(connection, group);
           const reason = (error as { code?: string }).code ?? error.message;
           end(() => exchange.onError({ kind: controller ? 'lost' : 'notSent', reason }));
         },
@@ -129,7 +150,7 @@
           if (controller) {
             controller.abort(new Error('given up'));
           } else {
-            drop(client, group);
+            drop(connection, group);
           }
         }),
       pause: () => controller?.pause(),
@@ -140,6 +161,6 @@
   return {
     send,
     getOpenCount: () => [...groups.values()].reduce((sum, group) => sum + group.open, 0),
-    close: () => groups.forEach((group) => group.idle.forEach((client) => client.destroy())),
+    close: () => groups.forEach((group) => group.idle.forEach(({ client }) => client.destroy())),
   };
 }
