--- a/src/engines/chooseHome.ts
+++ b/src/engines/chooseHome.ts
@@ -29,9 +29,7 @@
     home.pending < home.freePlaces + home.idlePlaces &&
     home.inFlight < home.slots * MAX_FILL;
   const hasRoom = (home: Home) =>
-    hasPlace(home) &&
-    home.inFlight <= mean * MAX_LOAD + LOAD_SLACK &&
-    home.waitMs <= MAX_WAIT_MS;
+    hasPlace(home) && home.inFlight <= mean * MAX_LOAD + LOAD_SLACK && home.waitMs <= MAX_WAIT_MS;
   const preferred = ranked.slice(0, HOMES).filter(hasRoom);
   return (
     preferred.find((home) => home.freePlaces > home.pending) ??
--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -90,7 +90,6 @@
     cancelTimer();
     let pauseMs: number | undefined = 0;
     while (pauseMs === 0 && !isStopped) {
-       
       pauseMs = await step();
     }
     isWorking = false;
--- /dev/null
+++ b/src/engines/createOwnedEngines.ts
@@ -0,0 +1,102 @@
+import type Log from '../events/Log';
+import type Service from '../manifest/Service';
+import type Time from '../shared/Time';
+import type Upstream from '../upstream/Upstream';
+import type Upstreams from '../upstream/Upstreams';
+import type Usage from '../usage/Usage';
+import createEngine from './createEngine';
+import type EngineControl from './EngineControl';
+import type EngineState from './EngineState';
+
+interface OwnedEnginesHost extends Time {
+  control: EngineControl;
+  tryGetFence(now: number, engine: string): number | undefined;
+  getVersion(key: string): number;
+  getEngineService(service: string): Service['engine'];
+  /** Tells all VMs, this one among them. */
+  announce(state: EngineState): void;
+  /** Tells a VM that an adapter is not loaded now. */
+  refuse(asker: string, engine: string, key: string): void;
+  countOrder(kind: string, outcome: string): void;
+  log: Log;
+}
+
+/** The engines that this VM gives orders to. */
+export default function createOwnedEngines(
+  host: OwnedEnginesHost,
+  parts: { upstreams: Pick<Upstreams, 'tryGet'>; usage: Pick<Usage, 'getUse'> },
+  options: { address: string },
+) {
+  const engines = new Map<string, ReturnType<typeof createEngine>>();
+  const lastStates = new Map<string, EngineState>();
+  let stateSequence = 0;
+
+  /** Begins to give orders to an engine. */
+  function open(id: string): void {
+    const upstream = parts.upstreams.tryGet(id);
+    if (!upstream || engines.has(id)) {
+      return;
+    }
+
+    const getService = () => host.getEngineService(upstream.service);
+    const engine = createEngine(
+      {
+        ...host,
+        order: (order, by) =>
+          host.control.order(upstream, order, { ...by, holder: options.address }),
+        report: () => host.control.report(upstream),
+        tryGetFence: (now) => host.tryGetFence(now, id),
+        getUse: (now, key) => parts.usage.getUse(now, id, key),
+        getVersion: host.getVersion,
+        getModels: () => getService()?.models ?? [],
+        getPlaces: () => getService()?.adapterSlots ?? 0,
+        announce: (state) => announce(state),
+        refuse: (want, reason) => {
+          host.log('loadRefused', { engine: id, adapter: want.key, reason });
+          want.askers.forEach((asker) => host.refuse(asker, id, want.key));
+        },
+        countOrder: (kind, outcome) => host.countOrder(kind, outcome),
+      },
+      upstream,
+    );
+    engines.set(id, engine);
+    engine.work();
+  }
+
+  function close(id: string): void {
+    engines.get(id)?.stop();
+    engines.delete(id);
+    lastStates.delete(id);
+  }
+
+  function announce(state: Omit<EngineState, 'fence' | 'sequence' | 'canLoad'>): void {
+    const fence = host.tryGetFence(host.now(), state.engine);
+    stateSequence += 1;
+    const whole = {
+      ...state,
+      fence: fence ?? lastStates.get(state.engine)?.fence ?? 0,
+      sequence: stateSequence,
+      canLoad: fence !== undefined,
+    };
+    lastStates.set(state.engine, whole);
+    host.announce(whole);
+  }
+
+  /** Begins anew where an engine has restarted under its id. */
+  function noticeRestart(upstream: Upstream): void {
+    const engine = engines.get(upstream.id);
+    if (engine && engine.upstream.startedAt !== upstream.startedAt) {
+      close(upstream.id);
+      open(upstream.id);
+    }
+  }
+
+  return {
+    open,
+    close,
+    noticeRestart,
+    tryGet: (id: string) => engines.get(id),
+    getIds: () => [...engines.keys()],
+    repeatStates: () => engines.forEach((engine) => engine.announce()),
+  };
+}
--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -70,7 +70,7 @@
       if (adapter === undefined) {
         return refuse('noUpstream');
       }
-       
+
       isLoaded = await waitForLoad(job, { model, adapter, key });
       if (job.isCallerGone) {
         break;
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -1,17 +1,14 @@
 import { match } from 'ts-pattern';
-import createEngine from '../engines/createEngine';
 import createEngineViews from '../engines/createEngineViews';
+import createOwnedEngines from '../engines/createOwnedEngines';
 import createLoads from '../engines/createLoads';
 import createOwnerships from '../engines/createOwnerships';
-import type EngineState from '../engines/EngineState';
 import getAdapterKey from '../engines/getAdapterKey';
 import type Call from '../gateway/Call';
+import createAttempts from '../gateway/createAttempts';
 import createGateway from '../gateway/createGateway';
 import createRepeatBudget from '../gateway/createRepeatBudget';
-import type Job from '../gateway/Job';
-import type Place from '../gateway/Place';
 import type Reply from '../gateway/Reply';
-import sendAttempt from '../gateway/sendAttempt';
 import type Change from '../keyValue/Change';
 import type Manifest from '../manifest/Manifest';
 import createMembers from '../members/createMembers';
@@ -23,9 +20,8 @@
 import createUpstreamHealth from '../upstream/createUpstreamHealth';
 import createUpstreams from '../upstream/createUpstreams';
 import type Upstream from '../upstream/Upstream';
-import createTurns from '../turns/createTurns';
+import createTurnKeeper from '../turns/createTurnKeeper';
 import createTurnTaker from '../turns/createTurnTaker';
-import getReadMs from '../turns/getReadMs';
 import createUsage from '../usage/createUsage';
 import createPlacement from './createPlacement';
 import type RoutedEntryHost from './RoutedEntryHost';
@@ -36,19 +32,6 @@
 /** Owners repeat their engines' states for VMs that missed one. */
 const REPEAT_STATES_MS = 2000;
 const OWNERSHIP_PAUSE_MS = 250;
-/** A request that may be repeated is sent elsewhere after this many objectives of silence. */
-const SILENCE_FACTOR = 2;
-const MIN_SILENCE_MS = 1000;
-/** A caller that leaves after this long without a byte has found a silent upstream. */
-const SILENT_MS = 1500;
-/** Time to the first event beside the reading of the prompt. */
-const ON_TIME_MARGIN_MS = 80;
-/** Callers leave a stream that is silent for 2 s; a request does not wait for its turn as long. */
-const MAX_TURN_MS = 1500;
-/** For routes that state no objective on pauses. */
-const DEFAULT_PAUSE_MS = 300;
-const URGENCY_STEP = 2;
-const MAX_URGENCY = 9;
 /** Characters shown of an entry that can't be read. */
 const MAX_SHOWN = 200;
 
@@ -71,11 +54,9 @@
   const usage = createUsage();
   const health = createUpstreamHealth();
   const views = createEngineViews();
+  const turns = createTurnKeeper(host.setTimer);
   const versions = new Map<string, number>();
-  const engines = new Map<string, ReturnType<typeof createEngine>>();
-  const lastStates = new Map<string, EngineState>();
   let manifest: Manifest | undefined;
-  let stateSequence = 0;
 
   const mirror = createMirror({
     ...host,
@@ -113,19 +94,14 @@
     getStoreFailedAt: mirror.getFailedAt,
     onChange: (upstream) => {
       views.describe(upstream);
-      const engine = engines.get(upstream.id);
-      if (engine && engine.upstream.startedAt !== upstream.startedAt) {
-        closeEngine(upstream.id);
-        openEngine(upstream.id);
-      }
+      engines.noticeRestart(upstream);
       loads.notice();
     },
     onGone: (id) => {
       views.remove(id);
       health.forget(id);
-      turns.delete(id);
-      backlogs.delete(id);
-      closeEngine(id);
+      turns.remove(id);
+      engines.close(id);
     },
   });
   const ownerships = createOwnerships(
@@ -133,17 +109,34 @@
       ...host,
       mirror,
       members,
-      onTaken: openEngine,
-      onLost: closeEngine,
+      onTaken: (engine) => engines.open(engine),
+      onLost: (engine) => engines.close(engine),
     },
     { address, incarnation, leaseMs: options.orderGapMs },
   );
+  const engines = createOwnedEngines(
+    {
+      ...host,
+      control: host.engines,
+      tryGetFence: ownerships.tryGetFence,
+      getVersion,
+      getEngineService: (service) => manifest?.services.get(service)?.engine,
+      announce: (state) => {
+        receive(address, { kind: 'engineState', ...state });
+        broadcast({ kind: 'engineState', ...state });
+      },
+      refuse: (asker, engine, key) => sendOrDeliver(asker, { kind: 'loadRefused', engine, key }),
+      countOrder: (kind, outcome) => metrics.loads.inc({ outcome: `${kind} ${outcome}` }),
+    },
+    { upstreams, usage },
+    options,
+  );
   const placement = createPlacement(
     {
       ...host,
       getManifest: () => manifest,
       getVersion,
-      getBacklogMs: (engine) => backlogs.get(engine) ?? 0,
+      getBacklogMs: turns.getBacklogMs,
     },
     { upstreams, usage, health, views, getLoads: () => loads },
     options,
@@ -170,8 +163,6 @@
         .getAll()
         .some(({ id, state }) => state === 'ready' && views.isResident(id, ask.key, ask.version)),
   });
-  const backlogs = new Map<string, number>();
-  const turns = new Map<string, ReturnType<typeof createTurns>>();
   const turnTaker = createTurnTaker({
     ...host,
     ask: (engine, asked, waitMs) => {
@@ -187,130 +178,31 @@
     ...host,
     getManifest: () => manifest,
     place: placement.place,
-    attempt,
-    noteRequest: repeats.noteRequest,
-    tryRepeat: repeats.tryTake,
-    metrics,
-  });
-
-  async function attempt(job: Job, place: Place, isLast: boolean) {
-    const { upstream } = place;
-    const startedAt = host.now();
-    const service = manifest!.services.get(job.service);
-    const share = Math.max(1, members.getServing(startedAt).length);
-    const maxConnections = Math.max(2, Math.floor((service?.maxConnections ?? 64) / share));
-    const isEngine = service?.engine !== undefined;
-    const key = getAdapterKey(job.call.model ?? '', job.call.adapter);
-    const finish = usage.begin(startedAt, upstream.id, isEngine ? key : '');
-    const isRepeatable = job.route.kind === 'idempotent' || job.route.isResumable;
-    const silenceMs =
-      isRepeatable && !isLast
-        ? Math.max(MIN_SILENCE_MS, SILENCE_FACTOR * job.route.latencyObjectiveMs)
-        : Infinity;
-    if (isEngine) {
-      await takeTurn(job, upstream.id);
-      if (job.isCallerGone) {
-        finish(host.now());
-        return { kind: 'callerLeft' } as const;
-      }
-    }
-    const outcome = await sendAttempt(
+    attempt: createAttempts(
       {
         ...host,
-        send: (deadlineMs, exchange) =>
-          host.connections.send(
-            upstream.address,
-            host.encode(job.call, {
-              deadlineMs,
-              upstream: upstream.id,
-              version: place.version,
-              urgency: isEngine
-                ? Math.min(MAX_URGENCY, 1 + job.route.urgency * URGENCY_STEP)
-                : undefined,
-              resumeAfter:
-                job.lastEventId === undefined ? job.call.resumeAfter : String(job.lastEventId),
-            }),
-            maxConnections,
-            exchange,
-          ),
-        onFirstByte: (now, head) => {
-          if (isEngine) {
-            endTurn(upstream.id, job.call.id);
+        getService: (name) => manifest?.services.get(name),
+        getVmCount: (now) => members.getServing(now).length,
+        endTurn: (engine, id) => {
+          const owner = tryGetOwner(engine);
+          if (owner !== undefined) {
+            sendOrDeliver(owner, { kind: 'turnOver', engine, id });
           }
-          if (head.status < 500 && !head.isNotRun) {
-            health.noteSuccess(now, upstream.id, now - startedAt);
+        },
+        doubt: (engine, key) => {
+          views.withdraw(engine, key);
+          const owner = tryGetOwner(engine);
+          if (owner !== undefined) {
+            sendOrDeliver(owner, { kind: 'engineDoubted', engine });
           }
         },
       },
-      job,
-      silenceMs,
-    );
-    const now = host.now();
-    finish(now);
-    if (isEngine && job.firstByteAt === undefined) {
-      endTurn(upstream.id, job.call.id);
-    }
-    const isSilent =
-      (outcome.kind === 'callerLeft' || outcome.kind === 'deadline') &&
-      job.firstByteAt === undefined &&
-      now - startedAt > SILENT_MS;
-    const isFailure =
-      isSilent ||
-      outcome.kind === 'failed' ||
-      outcome.kind === 'lost' ||
-      outcome.kind === 'broken' ||
-      outcome.kind === 'silent' ||
-      (outcome.kind === 'notSent' && outcome.reason !== 'noConnection');
-    if (isFailure && health.noteFailure(now, upstream.id)) {
-      host.log('upstreamSuspended', { upstream: upstream.id, cause: outcome.kind });
-    }
-    if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream' && isEngine) {
-      const owner = tryGetOwner(upstream.id);
-      views.withdraw(upstream.id, key);
-      if (owner !== undefined) {
-        sendOrDeliver(owner, { kind: 'engineDoubted', engine: upstream.id });
-      }
-    }
-    return outcome;
-  }
-
-  /** Waits until the engine has room to read the prompt, while that is in time. */
-  async function takeTurn(job: Job, engine: string): Promise<void> {
-    const now = host.now();
-    const { latencyObjectiveMs, urgency, pauseObjectiveMs: pauseMs = DEFAULT_PAUSE_MS } = job.route;
-    const { id, promptTokens: tokens } = job.call;
-    const spentMs = now - job.arrivedAt;
-    const onTimeMs = latencyObjectiveMs - getReadMs(tokens) - ON_TIME_MARGIN_MS - spentMs;
-    const waitMs = Math.min(MAX_TURN_MS, job.deadlineAt - now) - spentMs;
-    if (waitMs <= 0) {
-      return;
-    }
-    Object.assign(job, { leave: () => turnTaker.leave(job.call.id) });
-    const asked = { id, tokens, urgency, onTimeMs: Math.round(onTimeMs), pauseMs };
-    await turnTaker.take(engine, asked, Math.round(waitMs));
-    Object.assign(job, { turnMs: job.turnMs + host.now() - now });
-  }
-
-  function endTurn(engine: string, id: string): void {
-    const owner = tryGetOwner(engine);
-    if (owner !== undefined) {
-      sendOrDeliver(owner, { kind: 'turnOver', engine, id });
-    }
-  }
-
-  function getBacklogs(): [string, number][] {
-    const own = [...turns]
-      .filter(([engine]) => engines.has(engine))
-      .map(([engine, known]): [string, number] => [engine, known.getBacklogMs()]);
-    own.forEach(([engine, waitMs]) => backlogs.set(engine, waitMs));
-    return own;
-  }
-
-  function getTurns(engine: string): ReturnType<typeof createTurns> {
-    const known = turns.get(engine) ?? createTurns(host.setTimer);
-    turns.set(engine, known);
-    return known;
-  }
+      { upstreams, usage, health, turnTaker },
+    ),
+    noteRequest: repeats.noteRequest,
+    tryRepeat: repeats.tryTake,
+    metrics,
+  });
 
   function getVersion(key: string): number {
     return versions.get(key) ?? 0;
@@ -367,58 +259,6 @@
     };
   }
 
-  function openEngine(id: string): void {
-    const upstream = upstreams.tryGet(id);
-    if (!upstream || engines.has(id)) {
-      return;
-    }
-    const { engines: control } = host;
-    const getService = () => manifest?.services.get(upstream.service)?.engine;
-    const engine = createEngine(
-      {
-        ...host,
-        order: (order, by) => control.order(upstream, order, { ...by, holder: address }),
-        report: () => control.report(upstream),
-        tryGetFence: (now) => ownerships.tryGetFence(now, id),
-        getUse: (now, key) => usage.getUse(now, id, key),
-        getVersion,
-        getModels: () => getService()?.models ?? [],
-        getPlaces: () => getService()?.adapterSlots ?? 0,
-        announce: (state) => announceEngine(state),
-        refuse: (want, reason) => {
-          host.log('loadRefused', { engine: id, adapter: want.key, reason });
-          want.askers.forEach((asker) =>
-            sendOrDeliver(asker, { kind: 'loadRefused', engine: id, key: want.key }),
-          );
-        },
-        countOrder: (kind, outcome) => metrics.loads.inc({ outcome: `${kind} ${outcome}` }),
-      },
-      upstream,
-    );
-    engines.set(id, engine);
-    engine.work();
-  }
-
-  function closeEngine(id: string): void {
-    engines.get(id)?.stop();
-    engines.delete(id);
-    lastStates.delete(id);
-  }
-
-  function announceEngine(state: Omit<EngineState, 'fence' | 'sequence' | 'canLoad'>): void {
-    const fence = ownerships.tryGetFence(host.now(), state.engine);
-    stateSequence += 1;
-    const whole = {
-      ...state,
-      fence: fence ?? lastStates.get(state.engine)?.fence ?? 0,
-      sequence: stateSequence,
-      canLoad: fence !== undefined,
-    };
-    lastStates.set(state.engine, whole);
-    receive(address, { kind: 'engineState', ...whole });
-    broadcast({ kind: 'engineState', ...whole });
-  }
-
   function tryGetOwner(engine: string): string | undefined {
     const value = mirror.tryGet(`/baobablink/engines/${engine}`)?.value;
     return value === undefined ? undefined : (JSON.parse(value) as { holder: string }).holder;
@@ -450,7 +290,7 @@
       })
       .with({ kind: 'usage' }, ({ share, backlogs: told }) => {
         usage.receive(now, from, share);
-        told.forEach(([engine, waitMs]) => backlogs.set(engine, waitMs));
+        turns.receive(told);
       })
       .with({ kind: 'engineState' }, (state) => {
         if (views.announce(state)) {
@@ -458,7 +298,7 @@
         }
       })
       .with({ kind: 'loadWanted' }, (wanted) => {
-        const engine = engines.get(wanted.engine);
+        const engine = engines.tryGet(wanted.engine);
         const { model, adapter, version, urgency, waitMs } = wanted;
         if (!engine) {
           const key = getAdapterKey(model, adapter);
@@ -470,7 +310,7 @@
       })
       .with({ kind: 'turnWanted' }, ({ engine, waitMs, kind: _, ...asked }) => {
         let isGranted = false;
-        getTurns(engine).ask(now, asked, waitMs, () => {
+        turns.ask(now, engine, asked, waitMs, () => {
           isGranted = true;
           sendOrDeliver(from, { kind: 'turn', id: asked.id, isGranted });
         });
@@ -479,9 +319,9 @@
         }
       })
       .with({ kind: 'turn' }, ({ id, isGranted }) => turnTaker.receive(id, isGranted))
-      .with({ kind: 'turnOver' }, ({ engine, id }) => turns.get(engine)?.finish(now, id))
+      .with({ kind: 'turnOver' }, ({ engine, id }) => turns.finish(now, engine, id))
       .with({ kind: 'loadRefused' }, ({ engine, key }) => loads.refuse(engine, key))
-      .with({ kind: 'engineDoubted' }, ({ engine }) => engines.get(engine)?.doubt())
+      .with({ kind: 'engineDoubted' }, ({ engine }) => engines.tryGet(engine)?.doubt())
       .otherwise(({ kind }) => host.log('messageDropped', { from, kind }));
   }
 
@@ -490,9 +330,13 @@
     members.start();
     createRepeater(host, OWNERSHIP_PAUSE_MS, () => ownerships.tick(getEngineIds()));
     createRepeater(host, USAGE_PAUSE_MS, () =>
-      broadcast({ kind: 'usage', share: usage.getShare(host.now()), backlogs: getBacklogs() }),
+      broadcast({
+        kind: 'usage',
+        share: usage.getShare(host.now()),
+        backlogs: turns.getBacklogs(engines.getIds()),
+      }),
     );
-    createRepeater(host, REPEAT_STATES_MS, () => engines.forEach((engine) => engine.announce()));
+    createRepeater(host, REPEAT_STATES_MS, () => engines.repeatStates());
   }
 
   function getEngineIds(): string[] {
@@ -525,7 +369,7 @@
   /** Tells the others that this VM takes no new callers, and gives its engines up. */
   async function leave(): Promise<void> {
     members.leave();
-    [...engines.keys()].forEach(closeEngine);
+    engines.getIds().forEach(engines.close);
     await members.release();
   }
 
--- a/src/gateway/serveCall.ts
+++ b/src/gateway/serveCall.ts
@@ -43,7 +43,6 @@
     job.route.kind === 'idempotent' || (job.route.kind === 'stream' && job.route.isResumable);
 
   for (;;) {
-     
     const placed = await host.place(job, avoid);
     if (job.isCallerGone) {
       return { kind: 'callerLeft' };
@@ -52,7 +51,7 @@
       return sent > notRun ? giveUp('noPlaceLeft') : refuse(placed.error);
     }
     const place = placed.value;
-     
+
     const outcome = await host.attempt(job, place, sent + 1 - notRun >= job.route.attempts);
     if (outcome.kind !== 'notSent') {
       sent += 1;
@@ -84,11 +83,9 @@
         const canTry = unsent < MAX_UNSENT && reason !== 'noConnection';
         return canTry ? 'again' : endUnsent();
       })
-      .with({ kind: 'notRun' }, ({ reason }) => {
+      .with({ kind: 'notRun' }, () => {
         notRun += 1;
-        if (reason === 'full') {
-          avoid.add(place.upstream.id);
-        }
+        avoid.add(place.upstream.id);
         return notRun < MAX_NOT_RUN && mayRepeat() ? 'again' : endUnsent();
       })
       .with({ kind: 'failed' }, ({ head, body }) => {
--- a/src/mirror/createMirror.ts
+++ b/src/mirror/createMirror.ts
@@ -50,9 +50,8 @@
 
   async function run(): Promise<void> {
     while (!isStopped) {
-       
       const pauseMs = await step();
-       
+
       await new Promise<void>((resolve) => {
         host.setTimer(pauseMs, resolve);
       });
@@ -77,7 +76,6 @@
     let lowest = Infinity;
     let more = true;
     while (more) {
-       
       const page = await host.feed.list({ prefix: '', after });
       if (!page.ok) {
         noteFailure(page.error.kind);
--- a/src/upstream/createConnections.ts
+++ b/src/upstream/createConnections.ts
@@ -93,7 +93,11 @@
   }
 
   function dispatch(
-    connection: Connection, group: Group, message: Message, exchange: Exchange): Controls {
+    connection: Connection,
+    group: Group,
+    message: Message,
+    exchange: Exchange,
+  ): Controls {
     const { client } = connection;
     let controller: Dispatcher.DispatchController | undefined;
     let isOver = false;
