Test the decisions of the routed path; give turns on when an end is never told

Cause: a test of a lost turn found that nothing looked at the line again unless another request came. Change: the line is looked at again after 200 ms while it is not empty.

--- a/src/turns/createTurns.ts
+++ b/src/turns/createTurns.ts
@@ -9,6 +9,8 @@
 const BURST_MS = 35;
 /** Reading time that may wait at the engine itself: a slow one gets no more turns. */
 const MAX_UNREAD_MS = 75;
+/** For turns whose end is never told. */
+const LOOK_AGAIN_MS = 200;
 /** A turn whose end was not told, since its VM has died, is over after this. */
 const LOST_MS = 1500;
 
@@ -28,7 +30,7 @@
   let waiting: Waiting[] = [];
   let credit = BURST_MS;
   let creditAt = -Infinity;
-  let isScheduled = false;
+  let lookAt = Infinity;
 
   /** Asks for a turn; `onGranted` is called at once or when it comes. */
   function ask(now: number, asked: TurnAsk, waitMs: number, onGranted: () => void): void {
@@ -65,16 +67,24 @@
       running.set(next.id, { readMs: getReadMs(next.tokens), since: now });
       next.onGranted();
     }
-    if (waiting.length > 0 && credit <= 0 && !isScheduled) {
-      isScheduled = true;
-      const delayMs = Math.ceil(-credit / share) + 1;
-      schedule(delayMs, () => {
-        isScheduled = false;
-        grant(now + delayMs);
-      });
+    if (waiting.length > 0) {
+      lookAgain(now, credit > 0 ? LOOK_AGAIN_MS : Math.ceil(-credit / share) + 1);
     }
   }
 
+  /** Looks again after a delay, unless that is to be done sooner anyway. */
+  function lookAgain(now: number, delayMs: number): void {
+    const at = now + delayMs;
+    if (at >= lookAt) {
+      return;
+    }
+    lookAt = at;
+    schedule(delayMs, () => {
+      lookAt = Infinity;
+      grant(at);
+    });
+  }
+
   function hasRoom(next: Waiting): boolean {
     return running.size === 0 || getUnreadMs() + getReadMs(next.tokens) <= MAX_UNREAD_MS;
   }
--- /dev/null
+++ b/test/routed/decisions.test.ts
@@ -0,0 +1,246 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import chooseHome from '../../src/engines/chooseHome';
+import chooseOrder from '../../src/engines/chooseOrder';
+import type Home from '../../src/engines/Home';
+import type Slot from '../../src/engines/Slot';
+import type Want from '../../src/engines/Want';
+import createRepeatBudget from '../../src/gateway/createRepeatBudget';
+import pickTarget from '../../src/manifest/pickTarget';
+import type Route from '../../src/manifest/Route';
+import tryGetRoute from '../../src/manifest/tryGetRoute';
+import type Candidate from '../../src/upstream/Candidate';
+import chooseUpstream from '../../src/upstream/chooseUpstream';
+
+describe('decisions without a network', () => {
+  describe('the engine that loads an adapter', () => {
+    it('is the same one while it has room', () => {
+      const homes = [home('a'), home('b'), home('c')];
+      const first = chooseHome('m/a1', homes)!.id;
+      expect(chooseHome('m/a1', [...homes].reverse())!.id).to.equal(first);
+    });
+
+    it('is none where every place is in use', () => {
+      const full = { freePlaces: 0, idlePlaces: 0 };
+      expect(chooseHome('m/a1', [home('a', full), home('b', full)])).to.equal(undefined);
+    });
+
+    it('is one with an idle place where the first home has none', () => {
+      const ids = ['a', 'b', 'c', 'd'];
+      const first = chooseHome('m/a1', ids.map((id) => home(id)))!.id;
+      const homes = ids.map((id) =>
+        home(id, id === first ? { freePlaces: 0, idlePlaces: 0 } : {}),
+      );
+      expect(chooseHome('m/a1', homes)!.id).not.to.equal(first);
+    });
+
+    it('is not one that has much more to do than the others', () => {
+      const ids = ['a', 'b', 'c', 'd'];
+      const first = chooseHome('m/a1', ids.map((id) => home(id)))!.id;
+      const homes = ids.map((id) => home(id, { inFlight: id === first ? 40 : 10 }));
+      expect(chooseHome('m/a1', homes)!.id).not.to.equal(first);
+    });
+  });
+
+  describe('the next order to an engine', () => {
+    it('never takes the place of an adapter in use, nor more places than there are', () => {
+      const states = fc.constantFrom<Slot['state']>('loading', 'resident', 'leaving', 'uncertain');
+      fc.assert(
+        fc.property(
+          fc.array(fc.record({ state: states, inFlight: fc.nat(2), idleMs: fc.nat(2000) }), {
+            maxLength: 8,
+          }),
+          fc.nat(8),
+          (held, spare) => {
+            const slots = held.map(({ state }, index) => slot(`m/a${index}`, state));
+            const places = slots.length + (spare > 6 ? 1 : 0);
+            const choice = chooseOrder(10_000, {
+              slots,
+              wants: [want('m/new')],
+              places,
+              getUse: (key) => {
+                const of = held[Number(key.slice(3))];
+                return { inFlight: of?.inFlight ?? 0, lastUsedAt: 10_000 - (of?.idleMs ?? 0) };
+              },
+              getVersion: () => 0,
+            });
+            if (choice.kind === 'unload') {
+              const of = held[Number(choice.slot.key.slice(3))];
+              expect(of.state).to.equal('resident');
+              expect(of.inFlight).to.equal(0);
+            }
+            if (choice.kind === 'load') {
+              expect(slots.length).to.be.lessThan(places);
+            }
+          },
+        ),
+      );
+    });
+
+    it('replaces an old version only while no request uses it', () => {
+      const view = (inFlight: number) => ({
+        slots: [slot('m/a1', 'resident')],
+        wants: [want('m/a1', { version: 2 })],
+        places: 4,
+        getUse: () => ({ inFlight, lastUsedAt: 0 }),
+        getVersion: () => 2,
+      });
+      expect(chooseOrder(10_000, view(0)).kind).to.equal('load');
+      expect(chooseOrder(10_000, view(1)).kind).to.equal('drop');
+    });
+
+    it('has at most four loads on their way', () => {
+      const slots = ['a', 'b', 'c', 'd'].map((name) => slot(`m/${name}`, 'loading', 20_000));
+      const choice = chooseOrder(10_000, {
+        slots,
+        wants: [want('m/new')],
+        places: 30,
+        getUse: () => ({ inFlight: 0, lastUsedAt: 0 }),
+        getVersion: () => 0,
+      });
+      expect(choice).to.deep.equal({ kind: 'wait', untilMs: 20_000 });
+    });
+  });
+
+  describe('the upstream of a request', () => {
+    it('is the one with the least to do, a sound and near one', () => {
+      const chosen = chooseUpstream(
+        [
+          candidate('far', { dataCentre: 'y' }),
+          candidate('near', {}),
+          candidate('busy', { inFlight: 5 }),
+          candidate('failing', { failureShare: 0.5, inFlight: 1 }),
+          candidate('suspended', { isSuspended: true }),
+        ],
+        'x',
+      );
+      expect(chosen!.id).to.equal('near');
+    });
+
+    it('is a suspended one where there is no other', () => {
+      expect(chooseUpstream([candidate('only', { isSuspended: true })], 'x')!.id).to.equal('only');
+    });
+  });
+
+  describe('a route', () => {
+    const manifest = {
+      version: 1,
+      services: new Map(),
+      limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+      routes: [route('/'), route('/a/'), route('/a/b/'), { ...route('/a/b/c/'), host: 'other' }],
+    };
+
+    it('is the one of the host with the longest prefix', () => {
+      expect(tryGetRoute(manifest, 'h', '/a/b/c/d')!.pathPrefix).to.equal('/a/b/');
+      expect(tryGetRoute(manifest, 'h', '/ab')!.pathPrefix).to.equal('/');
+      expect(tryGetRoute(manifest, 'nobody', '/a/')).to.equal(undefined);
+    });
+
+    it('is split by weight, and never goes to a target of no weight', () => {
+      const split = {
+        ...route('/'),
+        targets: [
+          { service: 'none', weight: 0 },
+          { service: 'most', weight: 90 },
+          { service: 'few', weight: 10 },
+        ],
+      };
+      expect([0, 0.5, 0.89, 0.91, 0.999].map((chance) => pickTarget(split, chance))).to.deep.equal([
+        'most',
+        'most',
+        'most',
+        'few',
+        'few',
+      ]);
+    });
+  });
+
+  describe('repeats', () => {
+    it('stay within the shared budget on all VMs together, in any window', () => {
+      const vms = Array.from({ length: 8 }, () =>
+        createRepeatBudget(() => 8, { ratio: 0.2, windowMs: 10_000, reserve: 56 }),
+      );
+      const requests: number[] = [];
+      const repeats: number[] = [];
+      for (let now = 0; now < 40_000; now += 50) {
+        const vm = vms[(now / 50) % vms.length];
+        vm.noteRequest(now, 's');
+        requests.push(now);
+        for (let index = 0; index < 5; index += 1) {
+          if (vm.tryTake(now, 's')) {
+            repeats.push(now);
+          }
+        }
+      }
+      const countIn = (times: number[], from: number) =>
+        times.filter((at) => at >= from && at < from + 10_000).length;
+      for (let from = 0; from <= 30_000; from += 100) {
+        const asked = Math.max(countIn(requests, from), countIn(requests, from - 5000));
+        expect(countIn(repeats, from)).to.be.at.most(0.2 * asked + 56);
+      }
+      expect(repeats.length).to.be.greaterThan(100);
+    });
+  });
+});
+
+function home(id: string, change: Partial<Home> = {}): Home {
+  return {
+    id,
+    pending: 0,
+    inFlight: 10,
+    slots: 64,
+    waitMs: 0,
+    freePlaces: 5,
+    idlePlaces: 5,
+    ...change,
+  };
+}
+
+function slot(key: string, state: Slot['state'], dueAt = 99_999): Slot {
+  return { key, version: 1, state, since: 0, dueAt, sentAtSequence: undefined };
+}
+
+function want(key: string, change: Partial<Want> = {}): Want {
+  const [model, adapter] = key.split('/');
+  return {
+    key,
+    model,
+    adapter,
+    version: 1,
+    urgency: 0,
+    since: 0,
+    expiresAt: 99_999,
+    askers: new Set(),
+    ...change,
+  };
+}
+
+function candidate(id: string, change: Partial<Candidate>): Candidate {
+  return {
+    id,
+    dataCentre: 'x',
+    slots: 8,
+    inFlight: 0,
+    waitMs: 0,
+    failureShare: 0,
+    slowness: 1,
+    isSuspended: false,
+    ...change,
+  };
+}
+
+function route(pathPrefix: string): Route {
+  return {
+    name: pathPrefix,
+    host: 'h',
+    pathPrefix,
+    kind: 'idempotent',
+    timeoutMs: 1000,
+    latencyObjectiveMs: 100,
+    pauseObjectiveMs: undefined,
+    attempts: 1,
+    urgency: 0,
+    isResumable: false,
+    targets: [{ service: 's', weight: 1 }],
+  };
+}
