--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -7,6 +7,7 @@
 import readSettings from '../settings/readSettings';
 import createClient from './createClient';
 import type Output from './Output';
+import runExplain from './runExplain';
 import runStatus from './runStatus';
 import runTable from './runTable';
 import runWhere from './runWhere';
@@ -20,6 +21,7 @@
   Usage
     baobablink serve [settings]            run the entry daemon
     baobablink serve-platform [settings]   run an entry VM that routes by the platform's manifest
+    baobablink explain REQUEST [FILE…]     what logs say of a request; standard input without files
     baobablink check [settings]            validate the settings and show them
     baobablink where ADAPTER               entry VMs to use for an adapter
     baobablink status                      members, owners, residency
@@ -98,6 +100,7 @@
   return match(command)
     .with('serve', () => withSettings(Settings, serve))
     .with('serve-platform', () => withSettings(PlatformSettings, servePlatform))
+    .with('explain', () => (rest.length > 0 ? runExplain(rest[0], rest.slice(1), output) : refuseUsage()))
     .with('check', () =>
       withSettings(Settings, async (settings) => {
         output.print(JSON.stringify(getShownSettings(settings), undefined, 2));
--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -17,7 +17,7 @@
 
 interface OwnershipsHost extends Time {
   keyValue: Pick<KeyValue, 'transact'>;
-  mirror: Pick<Mirror, 'tryGet' | 'getFailedAt' | 'getConfirmedAt'>;
+  mirror: Pick<Mirror, 'tryGet'>;
   members: Pick<Members, 'getServing' | 'hasLease' | 'isLeaving'>;
   /** Time of day; only its jumps against the steady clock are looked at. */
   getTimeOfDay(): number;
--- a/src/gateway/AnswerHead.ts
+++ b/src/gateway/AnswerHead.ts
@@ -7,8 +7,6 @@
   id: string | undefined;
   /** Whether the upstream states that the request was not run. */
   isNotRun: boolean;
-  /** Requests running and waiting at the upstream, where it tells. */
-  load: { running: number; waiting: number; slots: number } | undefined;
 }
 
 export default AnswerHead;
--- a/test/routed/turns.test.ts
+++ b/test/routed/turns.test.ts
@@ -71,16 +71,16 @@
 
   it('go on when the end of a turn is never told', () => {
     const timers: { at: number; callback: () => void }[] = [];
-    let now = 0;
-    const turns = createTurns((delayMs, callback) => timers.push({ at: now + delayMs, callback }));
+    const clock = { now: 0 };
+    const turns = createTurns((delayMs, callback) => timers.push({ at: clock.now + delayMs, callback }));
     const granted: string[] = [];
     const asked = { tokens: 6000, urgency: 0, onTimeMs: 500, pauseMs: PAUSE_MS };
     turns.ask(0, { ...asked, id: 'lost' }, 5000, () => granted.push('lost'));
     turns.ask(0, { ...asked, id: 'next' }, 5000, () => granted.push('next'));
-    for (; now < 2000; now += 10) {
+    for (; clock.now < 2000; clock.now += 10) {
       timers
         .splice(0)
-        .forEach((timer) => (timer.at <= now ? timer.callback() : timers.push(timer)));
+        .forEach((timer) => (timer.at <= clock.now ? timer.callback() : timers.push(timer)));
     }
     expect(granted).to.deep.equal(['lost', 'next']);
   });
@@ -105,21 +105,21 @@
 
 /** Plays an engine step by step: it reads what waits at it, then makes a token of each stream. */
 function play(prompts: Prompt[], isTaking: boolean): Result {
-  let now = 0;
+  const clock = { now: 0 };
   const timers: { at: number; callback: () => void }[] = [];
-  const turns = createTurns((delayMs, callback) => timers.push({ at: now + delayMs, callback }));
+  const turns = createTurns((delayMs, callback) => timers.push({ at: clock.now + delayMs, callback }));
   const unread: { id: string; left: number; prompt: Prompt }[] = [];
   const coming = prompts.map((prompt, index) => ({ prompt, id: String(index) }));
   const readAt = new Map<string, number>();
   const stepEnds: number[] = [];
-  while (readAt.size < prompts.length && now < 120_000) {
-    while (coming.length > 0 && coming[0].prompt.at <= now) {
+  while (readAt.size < prompts.length && clock.now < 120_000) {
+    while (coming.length > 0 && coming[0].prompt.at <= clock.now) {
       const { prompt, id } = coming.shift()!;
       const send = () => unread.push({ id, left: prompt.tokens, prompt });
       if (isTaking) {
         const { tokens, urgency } = prompt;
         const onTimeMs = OBJECTIVE_MS - getReadMs(tokens);
-        turns.ask(now, { id, tokens, urgency, onTimeMs, pauseMs: PAUSE_MS }, 60_000, send);
+        turns.ask(clock.now, { id, tokens, urgency, onTimeMs, pauseMs: PAUSE_MS }, 60_000, send);
       } else {
         send();
       }
@@ -134,15 +134,15 @@
         done.push(unread.shift()!.id);
       }
     }
-    now += STEP_MS + (CHUNK_TOKENS - room) / TOKENS_PER_MS;
-    stepEnds.push(now);
+    clock.now += STEP_MS + (CHUNK_TOKENS - room) / TOKENS_PER_MS;
+    stepEnds.push(clock.now);
     done.forEach((id) => {
-      readAt.set(id, now);
-      turns.finish(now, id);
+      readAt.set(id, clock.now);
+      turns.finish(clock.now, id);
     });
     timers
       .splice(0)
-      .forEach((timer) => (timer.at <= now ? timer.callback() : timers.push(timer)));
+      .forEach((timer) => (timer.at <= clock.now ? timer.callback() : timers.push(timer)));
   }
   const isOnTime = (prompt: Prompt, id: string) => {
     const first = readAt.get(id);
