--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -100,7 +100,9 @@
   return match(command)
     .with('serve', () => withSettings(Settings, serve))
     .with('serve-platform', () => withSettings(PlatformSettings, servePlatform))
-    .with('explain', () => (rest.length > 0 ? runExplain(rest[0], rest.slice(1), output) : refuseUsage()))
+    .with('explain', () =>
+      rest.length > 0 ? runExplain(rest[0], rest.slice(1), output) : refuseUsage(),
+    )
     .with('check', () =>
       withSettings(Settings, async (settings) => {
         output.print(JSON.stringify(getShownSettings(settings), undefined, 2));
--- /dev/null
+++ b/test/platform/decode.test.ts
@@ -0,0 +1,166 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import decodeCall from '../../platform/decodeCall';
+import decodeHead from '../../platform/decodeHead';
+import decodeManifest from '../../platform/decodeManifest';
+import decodeUpstream from '../../platform/decodeUpstream';
+import decodeVersion from '../../platform/decodeVersion';
+import encodeCall from '../../platform/encodeCall';
+import readChange from '../../platform/readChange';
+
+const SERVER = {
+  Backend: 's',
+  Addr: '10.0.0.1:80',
+  Zone: 'z',
+  Slots: 4,
+  State: 'ready',
+  born: 5,
+  Seq: 1,
+  ColdLeftMs: 0,
+};
+const MANIFEST = {
+  Version: 3,
+  Routes: [
+    {
+      Name: 'r',
+      Host: 'h',
+      PathPrefix: '/a/',
+      Type: 'streaming',
+      TimeoutMs: 1000,
+      SloMs: 100,
+      Prio: 2,
+      Split: [{ Backend: 's', Weight: 9 }],
+      Attempts: 2,
+      CanResume: true,
+      GapSloMs: 250,
+    },
+  ],
+  Services: [{ Name: 's', MaxConns: 10 }],
+  Limits: { MaxHeaderBytes: 1, MaxBodyBytes: 2, HeaderTimeoutMs: 3, IdleTimeoutMs: 4 },
+};
+
+describe('what the platform says', () => {
+  it('of a server is decoded, with the models it holds', () => {
+    const Models = [{ Name: 'm', Version: 1, Adapters: ['a1@2'] }];
+    expect(decodeUpstream('i', JSON.stringify({ ...SERVER, Models }))).to.deep.equal({
+      id: 'i',
+      startedAt: 5,
+      service: 's',
+      address: '10.0.0.1:80',
+      dataCentre: 'z',
+      state: 'ready',
+      slots: 4,
+      models: [{ name: 'm', version: 1, adapters: [{ name: 'a1', version: 2 }] }],
+    });
+  });
+
+  it('of a server names no upstream where a field is missing or of another kind', () => {
+    const broken = [
+      ...Object.keys(SERVER)
+        .filter((field) => !['Seq', 'ColdLeftMs'].includes(field))
+        .map((field) => ({ ...SERVER, [field]: undefined })),
+      { ...SERVER, State: 'resting' },
+      { ...SERVER, Addr: 'elsewhere' },
+      { ...SERVER, Slots: '4' },
+      { ...SERVER, born: 1.5 },
+    ];
+    broken.forEach((entry) => {
+      expect(decodeUpstream('i', JSON.stringify(entry)), JSON.stringify(entry)).to.equal(undefined);
+    });
+  });
+
+  it('in any bytes ends in a value or in nothing', () => {
+    const values = fc.oneof(fc.string(), fc.json());
+    fc.assert(
+      fc.property(
+        values,
+        fc.constantFrom('op/config', 'op/version/m.a', 'servers/i'),
+        (value, key) => {
+          expect(() => readChange({ key, revision: 1, value })).not.to.throw();
+        },
+      ),
+    );
+    expect(decodeManifest('{')).to.equal(undefined);
+    expect(decodeVersion('[]')).to.equal(undefined);
+  });
+
+  it('as a manifest becomes routes, services and limits', () => {
+    const manifest = decodeManifest(JSON.stringify(MANIFEST))!;
+    expect(manifest.version).to.equal(3);
+    expect(manifest.routes[0]).to.deep.include({
+      kind: 'stream',
+      attempts: 2,
+      isResumable: true,
+      urgency: 2,
+      pauseObjectiveMs: 250,
+      targets: [{ service: 's', weight: 9 }],
+    });
+    expect(manifest.limits.maxBodyBytes).to.equal(2);
+  });
+
+  it('in an answer tells whether the request was run', () => {
+    expect(decodeHead(503, { 'not-executed': '1' }).isNotRun).to.equal(true);
+    expect(decodeHead(421, {}).isNotRun).to.equal(true);
+    expect(decodeHead(503, {}).isNotRun).to.equal(false);
+    expect(decodeHead(429, {}).isNotRun).to.equal(false);
+  });
+});
+
+describe('a caller’s request', () => {
+  const raw = [
+    ...['Host', 'h', 'Request-Id', 'q1', 'Model', 'm/a1', 'Token-Count', '10,20'],
+    ...['Prompt-Prefix', '1:2', 'Deadline-Ms', '900', 'X-Own', 'kept'],
+  ];
+  const forbidden = [
+    ...['Hold', '1', 'Pin-Ms', '1', 'Kv-Backup', 'x', 'Kv-From', 'x', 'Kv-Fetch', 'x'],
+    ...['Expect-Instance', 'x', 'Expect-Version', '1', 'Request-Priority', '0'],
+  ];
+  const order = {
+    deadlineMs: 800,
+    upstream: 'i',
+    version: 4,
+    urgency: 1,
+    resumeAfter: undefined,
+  };
+
+  it('is decoded, and goes on with its own headers', () => {
+    const call = decodeCall('POST', '/a/b?c', raw, Buffer.from('body'))!;
+    expect(call).to.deep.include({ id: 'q1', model: 'm', adapter: 'a1', deadlineMs: 900 });
+    const headers = toMap(encodeCall(call, order).headers);
+    expect(headers.get('model')).to.equal('m/a1');
+    expect(headers.get('prompt-prefix')).to.equal('1:2');
+    expect(headers.get('x-own')).to.equal('kept');
+    expect(headers.get('deadline-ms')).to.equal('800');
+    expect(headers.get('expect-instance')).to.equal('i');
+    expect(headers.get('expect-version')).to.equal('4');
+  });
+
+  it('never carries what only the system sets, nor what concerns one connection', () => {
+    const perConnection = ['Connection', 'close, X-Hop', 'X-Hop', '1', 'TE', 'trailers'];
+    const call = decodeCall(
+      'POST',
+      '/',
+      [...raw, ...forbidden, ...perConnection],
+      Buffer.alloc(0),
+    )!;
+    const headers = toMap(encodeCall(call, { ...order, version: undefined }).headers);
+    ['hold', 'pin-ms', 'kv-backup', 'kv-from', 'kv-fetch', 'x-hop', 'te', 'connection'].forEach(
+      (name) => expect(headers.has(name), name).to.equal(false),
+    );
+    expect(headers.get('expect-instance')).to.equal('i');
+    expect(headers.has('expect-version')).to.equal(false);
+    expect(headers.get('request-priority')).to.equal('1');
+  });
+
+  it('without an id is none', () => {
+    expect(decodeCall('GET', '/', ['Host', 'h'], Buffer.alloc(0))).to.equal(undefined);
+  });
+});
+
+function toMap(headers: string[]): Map<string, string> {
+  const pairs = headers.flatMap((name, index): [string, string][] =>
+    index % 2 === 0 ? [[name.toLowerCase(), headers[index + 1]]] : [],
+  );
+  expect(new Set(pairs.map(([name]) => name)).size).to.equal(pairs.length);
+  return new Map(pairs);
+}
--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -27,16 +27,20 @@
 
     it('is one with an idle place where the first home has none', () => {
       const ids = ['a', 'b', 'c', 'd'];
-      const first = chooseHome('m/a1', ids.map((id) => home(id)))!.id;
-      const homes = ids.map((id) =>
-        home(id, id === first ? { freePlaces: 0, idlePlaces: 0 } : {}),
-      );
+      const first = chooseHome(
+        'm/a1',
+        ids.map((id) => home(id)),
+      )!.id;
+      const homes = ids.map((id) => home(id, id === first ? { freePlaces: 0, idlePlaces: 0 } : {}));
       expect(chooseHome('m/a1', homes)!.id).not.to.equal(first);
     });
 
     it('is not one that has much more to do than the others', () => {
       const ids = ['a', 'b', 'c', 'd'];
-      const first = chooseHome('m/a1', ids.map((id) => home(id)))!.id;
+      const first = chooseHome(
+        'm/a1',
+        ids.map((id) => home(id)),
+      )!.id;
       const homes = ids.map((id) => home(id, { inFlight: id === first ? 40 : 10 }));
       expect(chooseHome('m/a1', homes)!.id).not.to.equal(first);
     });
--- a/test/routed/engine.test.ts
+++ b/test/routed/engine.test.ts
@@ -35,7 +35,7 @@
     const { time, engine, state, fake } = createTrial();
     for (let index = 0; index < 12; index += 1) {
       want(engine, `a${index}`);
-       
+
       await time.advance(1000);
     }
     expect(fake.conflicts).to.equal(0);
@@ -48,7 +48,7 @@
     for (let index = 0; index < 40; index += 1) {
       fake.loseNext = index % 3 === 0;
       want(engine, `a${index % 9}`);
-       
+
       await time.advance(350);
     }
     await time.advance(LATE_MS * 2);
@@ -129,7 +129,10 @@
     });
   }
 
-  function carryOut(order: EngineOrder, expected: number): Outcome<'accepted' | 'held', EngineFault> {
+  function carryOut(
+    order: EngineOrder,
+    expected: number,
+  ): Outcome<'accepted' | 'held', EngineFault> {
     settle();
     if (expected !== fake.sequence) {
       fake.conflicts += 1;
--- a/test/routed/mirror.test.ts
+++ b/test/routed/mirror.test.ts
@@ -31,7 +31,7 @@
     for (let index = 0; index < 20; index += 1) {
       const revision = trial.mirror.getRevision();
       trial.mirror.receive({ fromRevision: revision, revision, ageMs: 0, changes: [] });
-       
+
       await trial.time.advance(250);
     }
     expect(trial.calls()).to.equal(before);
--- a/test/routed/ownerships.test.ts
+++ b/test/routed/ownerships.test.ts
@@ -95,23 +95,23 @@
   function start(address: string): void {
     const machine = { isAlive: true, leaseUntil: Infinity, suspendedMs: 0 };
     const ownerships = createOwnerships(
-        {
-          ...time,
-          keyValue: { transact },
-          mirror: {
-            tryGet: (key) => entries.get(key),
-          },
-          members: {
-            getServing: () => [...vms].filter(([, vm]) => vm.isAlive).map(([name]) => name),
-            hasLease: (at) => at < machine.leaseUntil,
-            isLeaving: () => false,
-          },
-          getTimeOfDay: () => time.now() + machine.suspendedMs,
-          onTaken: () => {},
-          onLost: () => {},
-          log: () => {},
+      {
+        ...time,
+        keyValue: { transact },
+        mirror: {
+          tryGet: (key) => entries.get(key),
         },
-        { address, incarnation: `${address}-${revision}`, leaseMs: LEASE_MS },
+        members: {
+          getServing: () => [...vms].filter(([, vm]) => vm.isAlive).map(([name]) => name),
+          hasLease: (at) => at < machine.leaseUntil,
+          isLeaving: () => false,
+        },
+        getTimeOfDay: () => time.now() + machine.suspendedMs,
+        onTaken: () => {},
+        onLost: () => {},
+        log: () => {},
+      },
+      { address, incarnation: `${address}-${revision}`, leaseMs: LEASE_MS },
     );
     vms.set(address, Object.assign(machine, { ownerships }));
     put(`/baobablink/members/${address}`, '{}');
@@ -122,7 +122,7 @@
   async function run(forMs: number): Promise<void> {
     for (let spent = 0; spent < forMs; spent += 250) {
       vms.forEach((vm) => vm.isAlive && vm.ownerships.tick(ENGINES));
-       
+
       await time.advance(250);
     }
   }
--- a/test/routed/serve.test.ts
+++ b/test/routed/serve.test.ts
@@ -30,7 +30,11 @@
   });
 
   it('kind nonIdempotent goes elsewhere where it has not run', async () => {
-    const acts: Act[] = [{ kind: 'refuseConnection' }, { kind: 'notRun', status: 503 }, answer(200)];
+    const acts: Act[] = [
+      { kind: 'refuseConnection' },
+      { kind: 'notRun', status: 503 },
+      answer(200),
+    ];
     const trial = createTrial({ kind: 'nonIdempotent', attempts: 1 }, acts);
     await trial.run();
     expect(trial.reply.status).to.equal(200);
@@ -250,7 +254,7 @@
                 headers: [],
                 id: headers.id as string,
                 isNotRun: headers.ran === 'no',
-                }),
+              }),
               onFirstByte: () => {},
             },
             job,
--- a/test/routed/turns.test.ts
+++ b/test/routed/turns.test.ts
@@ -37,11 +37,8 @@
     const turns = createTurns(() => {});
     const order: string[] = [];
     const ask = (id: string, urgency: number) =>
-      turns.ask(
-        0,
-        { id, tokens: 3000, urgency, onTimeMs: 500, pauseMs: PAUSE_MS },
-        1000,
-        () => order.push(id),
+      turns.ask(0, { id, tokens: 3000, urgency, onTimeMs: 500, pauseMs: PAUSE_MS }, 1000, () =>
+        order.push(id),
       );
     ask('first', 2);
     ask('digest', 2);
@@ -55,11 +52,8 @@
     const turns = createTurns(() => {});
     const order: string[] = [];
     const ask = (id: string, onTimeMs: number) =>
-      turns.ask(
-        0,
-        { id, tokens: 3000, urgency: 0, onTimeMs, pauseMs: PAUSE_MS },
-        5000,
-        () => order.push(id),
+      turns.ask(0, { id, tokens: 3000, urgency: 0, onTimeMs, pauseMs: PAUSE_MS }, 5000, () =>
+        order.push(id),
       );
     ask('first', 500);
     ask('late', 100);
@@ -72,7 +66,9 @@
   it('go on when the end of a turn is never told', () => {
     const timers: { at: number; callback: () => void }[] = [];
     const clock = { now: 0 };
-    const turns = createTurns((delayMs, callback) => timers.push({ at: clock.now + delayMs, callback }));
+    const turns = createTurns((delayMs, callback) =>
+      timers.push({ at: clock.now + delayMs, callback }),
+    );
     const granted: string[] = [];
     const asked = { tokens: 6000, urgency: 0, onTimeMs: 500, pauseMs: PAUSE_MS };
     turns.ask(0, { ...asked, id: 'lost' }, 5000, () => granted.push('lost'));
@@ -107,7 +103,9 @@
 function play(prompts: Prompt[], isTaking: boolean): Result {
   const clock = { now: 0 };
   const timers: { at: number; callback: () => void }[] = [];
-  const turns = createTurns((delayMs, callback) => timers.push({ at: clock.now + delayMs, callback }));
+  const turns = createTurns((delayMs, callback) =>
+    timers.push({ at: clock.now + delayMs, callback }),
+  );
   const unread: { id: string; left: number; prompt: Prompt }[] = [];
   const coming = prompts.map((prompt, index) => ({ prompt, id: String(index) }));
   const readAt = new Map<string, number>();
