--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['node_modules', 'dist', 'docs', '.cache'] },
+  { ignores: ['node_modules', 'dist', 'target', 'journal', 'docs', '.cache'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
