--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -70,7 +70,7 @@
   const members = createMembers(
     {
       ...host,
-      keyValue: { ...host.keyValue, range: readRegistry } as never,
+      keyValue: { ...host.keyValue, range: readRegistry },
       tryGetList: async () => undefined,
       describe: (now) => ({
         tableRevision: manifest?.version ?? 0,
@@ -281,7 +281,7 @@
     const now = host.now();
     match(message)
       .with({ kind: 'heartbeat' }, (heartbeat) => members.receive(from, heartbeat))
-      .with({ kind: 'news' }, (news) => mirror.receive(news as never))
+      .with({ kind: 'news' }, (news) => mirror.receive(news))
       .with({ kind: 'newsWanted' }, () => {
         const whole = mirror.getWhole();
         if (whole) {
--- a/src/keyValue/Change.ts
+++ b/src/keyValue/Change.ts
@@ -2,7 +2,7 @@
 interface Change {
   key: string;
   revision: number;
-  value: string | undefined;
+  value?: string;
 }
 
 export default Change;
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -20,7 +20,7 @@
 const LIST_PAUSE_MS = 1000;
 
 interface MembersHost extends Time {
-  keyValue: KeyValue;
+  keyValue: Pick<KeyValue, 'range' | 'transact' | 'grantLease' | 'keepLeaseAlive' | 'revokeLease'>;
   tryGetList(): Promise<VirtualMachine[] | undefined>;
   send(to: string, message: Message): boolean;
   redial(to: string): void;
