Take an ended connection without a peer as reset

Node.js then reports a plain end, no error; the former fix saw only resets that come as errors. Change: at the end of an answer without length the connection is asked for its peer's address; a reset connection has none. Test: the reset in the same turn as the bytes.

--- a/src/upstream/createConnections.ts
+++ b/src/upstream/createConnections.ts
@@ -1,5 +1,6 @@
 import { buildConnector, Client } from 'undici';
 import type { Dispatcher } from 'undici';
+import type { Socket } from 'node:net';
 import type Exchange from './Exchange';
 
 /** A first packet that is lost is sent again after a second; another upstream is sooner. */
@@ -23,6 +24,7 @@
 
 interface Connection {
   client: Client;
+  socket: Socket | undefined;
   /** Whether the other end has reset it: an answer that only the end of it frames is not whole. */
   isReset: boolean;
 }
@@ -62,7 +64,8 @@
       pipelining: 1,
       connect: (options, callback) =>
         connect(options, (...result) => {
-          result[1]?.on('error', () => {
+          connection.socket = result[1] ?? undefined;
+          connection.socket?.on('error', () => {
             connection.isReset = true;
           });
           callback(...result);
@@ -73,7 +76,7 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       strictContentLength: false,
     });
-    const connection: Connection = { client, isReset: false };
+    const connection: Connection = { client, socket: undefined, isReset: false };
     client.on('disconnect', () => drop(connection, group));
     return connection;
   }
@@ -101,6 +104,7 @@
     const { client } = connection;
     let controller: Dispatcher.DispatchController | undefined;
     let isOver = false;
+    let isFramed = false;
     const end = (call: () => void) => {
       if (!isOver) {
         isOver = true;
@@ -122,6 +126,8 @@
           }
         },
         onResponseStart: (_, status, headers) => {
+          isFramed =
+            headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
           if (!isOver && status >= 200) {
             exchange.onHead(status, headers);
           }
@@ -132,7 +138,7 @@
           }
         },
         onResponseEnd: () => {
-          if (connection.isReset) {
+          if (connection.isReset || (!isFramed && !hasPeer(connection))) {
             end(() => exchange.onError({ kind: 'lost', reason: 'reset' }));
             return;
           }
@@ -168,3 +174,12 @@
     close: () => groups.forEach((group) => group.idle.forEach(({ client }) => client.destroy())),
   };
 }
+
+/**
+ * Whether a connection that has ended still has its other end. Where a reset comes right behind the
+ * last bytes, Node.js reports a plain end; the connection then has no peer any more. The address is
+ * read here only, since Node.js remembers the first one that it read.
+ */
+function hasPeer(connection: Connection): boolean {
+  return connection.socket?.remoteAddress !== undefined;
+}
--- a/test/platform/connections.test.ts
+++ b/test/platform/connections.test.ts
@@ -31,6 +31,14 @@
     expect(await exchange(address)).to.deep.include({ kind: 'error' });
   });
 
+  it('takes an answer without length as broken when the reset comes with its last bytes', async () => {
+    const address = await listen((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nha');
+      setImmediate(() => socket.resetAndDestroy());
+    });
+    expect(await exchange(address)).to.deep.include({ kind: 'error' });
+  });
+
   it('takes an answer that ends before its length as broken', async () => {
     const address = await listen((socket) => {
       socket.end('HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf');
