Give engines without an owner to VMs that own the fewest

Ruled out: moving engines of a living owner, since each change costs LeaseMs without orders. Change: the heir is one of the VMs with the fewest records, by rendezvous. Before: the new test (8 VMs replaced in turn, 6 engines) ends with a VM that owns 2; after: none owns more than 1.

--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -60,17 +60,22 @@
     if (host.members.isLeaving() || !host.members.hasLease(now)) {
       return;
     }
+    const holders = engines.map((engine) => tryGetRecord(engine)?.holder);
     engines
       .filter((engine) => !owned.has(engine))
       .filter((engine) => now - (claimedAt.get(engine) ?? -Infinity) > CLAIM_PAUSE_MS)
-      .filter((engine) => isClaimable(now, engine))
+      .filter((engine) => isClaimable(now, engine, holders))
       .forEach((engine) => {
         claimedAt.set(engine, now);
         claim(engine);
       });
   }
 
-  function isClaimable(now: number, engine: string): boolean {
+  function isClaimable(
+    now: number,
+    engine: string,
+    holders: readonly (string | undefined)[],
+  ): boolean {
     const record = tryGetRecord(engine);
     if (record?.holder === options.address) {
       return true;
@@ -79,7 +84,20 @@
       return false;
     }
     const isHeld = record && host.mirror.tryGet(`${MEMBER_PREFIX}${record.holder}`);
-    return !isHeld && rankByRendezvous(engine, host.members.getServing(now))[0] === options.address;
+    return !isHeld && tryGetHeir(now, engine, holders) === options.address;
+  }
+
+  /** The VM that takes an engine without an owner: of those that own the fewest, one by rendezvous. */
+  function tryGetHeir(
+    now: number,
+    engine: string,
+    holders: readonly (string | undefined)[],
+  ): string | undefined {
+    const serving = host.members.getServing(now);
+    const getCount = (vm: string) => holders.filter((holder) => holder === vm).length;
+    const fewest = Math.min(...serving.map(getCount));
+    const candidates = serving.filter((vm) => getCount(vm) === fewest);
+    return rankByRendezvous(engine, candidates)[0];
   }
 
   async function claim(engine: string): Promise<void> {
--- a/test/routed/ownerships.test.ts
+++ b/test/routed/ownerships.test.ts
@@ -54,6 +54,25 @@
     expect(trial.getFence(vm, 'e1')).to.equal(undefined);
   });
 
+  it('is spread over the VMs again when they are replaced in turn', async () => {
+    const engines = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'];
+    const trial = createTrial(8, engines);
+    await trial.run(4000);
+    for (const vm of [...trial.vms.keys()]) {
+      trial.kill(vm);
+
+      await trial.run(6000);
+      trial.forget(vm);
+      trial.restart(`${vm}0`);
+
+      await trial.run(3000);
+    }
+    const counts = [...trial.vms.keys()].map(
+      (vm) => engines.filter((engine) => trial.getOwners(engine).includes(vm)).length,
+    );
+    expect(Math.max(...counts)).to.equal(1);
+  });
+
   it('is taken back at once by a VM that restarted, with a new number', async () => {
     const trial = createTrial(2);
     await trial.run(4000);
@@ -73,7 +92,7 @@
 }
 
 /** VMs on one store, with registrations that end as VMs die. */
-function createTrial(count: number) {
+function createTrial(count: number, engines = ENGINES) {
   const time = createVirtualTime();
   const entries = new Map<string, { key: string; revision: number; value: string }>();
   const vms = new Map<string, Machine>();
@@ -121,7 +140,7 @@
 
   async function run(forMs: number): Promise<void> {
     for (let spent = 0; spent < forMs; spent += 250) {
-      vms.forEach((vm) => vm.isAlive && vm.ownerships.tick(ENGINES));
+      vms.forEach((vm) => vm.isAlive && vm.ownerships.tick(engines));
 
       await time.advance(250);
     }
@@ -143,6 +162,7 @@
       vms.get(vm)!.isAlive = false;
       entries.delete(`/baobablink/members/${vm}`);
     },
+    forget: (vm: string) => vms.delete(vm),
     restart: start,
   };
 }
