Send orders again at once, tell unreachable engines, pass use on by hubs

Ruled out: too few places (52 of 172 refusals by owners were 'full'). Loads on their way are bounded by what the store carries at full speed. Change: from 24 VMs on, one VM a data centre adds up and passes on; uses of single adapters go to the engine's owner only; heartbeats slow down with the number of VMs; a VM reads the store for all only 2 s after its start. Tests: engine.test.ts (both failed before), usage.test.ts, decisions.

--- a/src/engines/EngineState.ts
+++ b/src/engines/EngineState.ts
@@ -9,6 +9,8 @@
   sequence: number;
   /** Whether the owner can order loads now. */
   canLoad: boolean;
+  /** Whether the engine answers its owner. */
+  isReachable: boolean;
   /** Loads that are wanted and not yet ordered. */
   queued: number;
   models: { name: string; version: number }[];
--- a/src/engines/Slot.ts
+++ b/src/engines/Slot.ts
@@ -11,6 +11,8 @@
   dueAt: number;
   /** Orders that the engine had accepted before an order that was not answered. */
   sentAtSequence: number | undefined;
+  /** VMs whose requests wait for the adapter. */
+  askers: string[];
 }
 
 export default Slot;
--- a/src/engines/chooseOrder.ts
+++ b/src/engines/chooseOrder.ts
@@ -1,8 +1,6 @@
 import type Slot from './Slot';
 import type Want from './Want';
 
-/** Loads that may be on their way to one engine at once; the engines' own limit. */
-const MAX_LOADING = 4;
 /** News of the other VMs' requests is this old; an adapter used since may be in use. */
 const MIN_IDLE_MS = 300;
 
@@ -10,6 +8,8 @@
   slots: readonly Slot[];
   wants: readonly Want[];
   places: number;
+  /** Loads that may be on their way at once. */
+  maxLoading: number;
   /** Requests in progress and time of the last one, of an adapter on this engine. */
   getUse(key: string): { inFlight: number; lastUsedAt: number };
   /** Version that requests must run on. */
@@ -38,7 +38,7 @@
     return { kind: 'drop', want: expired, reason: 'expired' };
   }
   const loading = view.slots.filter((slot) => slot.state === 'loading');
-  const next = loading.length < MAX_LOADING ? getFirst(view.wants) : undefined;
+  const next = loading.length < view.maxLoading ? getFirst(view.wants) : undefined;
   if (next) {
     const replaced = view.slots.find((slot) => slot.key === next.key);
     if (replaced?.state === 'resident' && view.getUse(next.key).inFlight === 0) {
--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -21,6 +21,10 @@
 /** Reports are some hundred milliseconds old; an order without an answer shows after that. */
 const REPORT_LAG_MS = 400;
 const RETRY_PAUSE_MS = 150;
+/** An order without an answer is sent again at once under the same condition: one at most is carried out. */
+const MAX_SENDS = 3;
+/** An engine that does not answer is asked again after this. */
+const UNREACHABLE_PAUSE_MS = 400;
 const CONFIRM_AGAIN_MS = 30;
 /** Loading a model moves tens of gigabytes; it is not asked for again sooner. */
 const MODEL_LOAD_PAUSE_MS = 1000;
@@ -37,7 +41,13 @@
   getVersion(key: string): number;
   getModels(): BaseModel[];
   getPlaces(): number;
-  announce(state: Omit<EngineState, 'fence' | 'sequence' | 'canLoad'>): void;
+  /** Loads that may be on their way to this engine now. */
+  getMaxLoading(): number;
+  /** Tells the engine's state; `askers` wait for an adapter that has come. */
+  announce(
+    state: Omit<EngineState, 'fence' | 'sequence' | 'canLoad'>,
+    askers: readonly string[],
+  ): void;
   refuse(want: Want, reason: 'full' | 'expired' | 'failed'): void;
   countOrder(kind: string, outcome: string): void;
   log: Log;
@@ -49,7 +59,11 @@
   let models: { name: string; version: number }[] = [];
   let wants: Want[] = [];
   let sequence = 0;
+  /** Orders that the engine had accepted when this owner first read it. */
+  let firstSequence: number | undefined;
   let isKnown = false;
+  let isReachable = true;
+  let isSuspect = false;
   let readAfter = -Infinity;
   let isWorking = false;
   let isStopped = false;
@@ -61,12 +75,17 @@
   function want(asked: Omit<Want, 'since' | 'askers' | 'key'>, asker: string): void {
     const now = host.now();
     const key = getAdapterKey(asked.model, asked.adapter);
+    if (!isReachable) {
+      host.refuse({ ...asked, key, since: now, askers: new Set([asker]) }, 'failed');
+      return;
+    }
     const held = slots.find((slot) => slot.key === key && slot.version >= asked.version);
     if (held?.state === 'resident') {
-      announce();
+      announce([asker]);
       return;
     }
     if (held?.state === 'loading') {
+      held.askers.push(asker);
       return;
     }
     const known = wants.find((other) => other.key === key);
@@ -105,6 +124,11 @@
       refuseAll('failed');
       return RETRY_PAUSE_MS;
     }
+    if (isSuspect) {
+      isSuspect = false;
+      const report = await host.report();
+      setReachable(report.ok);
+    }
     if (!isKnown) {
       return learn(now);
     }
@@ -118,6 +142,7 @@
       slots,
       wants,
       places: host.getPlaces(),
+      maxLoading: host.getMaxLoading(),
       getUse: (key) => host.getUse(now, key),
       getVersion: host.getVersion,
     });
@@ -140,9 +165,10 @@
       return readAfter - now;
     }
     const report = await host.report();
+    setReachable(report.ok);
     if (!report.ok) {
-      readAfter = host.now() + RETRY_PAUSE_MS;
-      return RETRY_PAUSE_MS;
+      readAfter = host.now() + UNREACHABLE_PAUSE_MS;
+      return UNREACHABLE_PAUSE_MS;
     }
     const { value } = report;
     const readAt = host.now();
@@ -161,6 +187,9 @@
       ),
       dueAt: readAt + LOAD_MS,
     }));
+    coming.forEach((slot) =>
+      slot.askers.push(...(slots.find(({ key }) => key === slot.key)?.askers ?? [])),
+    );
     const seen = new Set([...resident, ...coming].map(({ key }) => key));
     // An order that was not answered may still be carried out while no later one was accepted.
     const uncertain = slots.filter(
@@ -169,6 +198,7 @@
     );
     slots = [...resident, ...coming, ...uncertain];
     sequence = value.sequence;
+    firstSequence ??= sequence;
     isKnown = true;
     slots.forEach(({ key }) => heldBefore.add(key));
     host.log('engineRead', {
@@ -207,6 +237,7 @@
     slots = slots.filter((slot) => slot.key !== wanted.key);
     const slot = createSlot(now, wanted.key, wanted.version, 'loading');
     slot.sentAtSequence = sequence;
+    slot.askers.push(...wanted.askers);
     slots.push(slot);
     announce();
     const outcome = await send('load', {
@@ -224,7 +255,7 @@
       () => {
         if (outcome === 'held') {
           slot.state = 'resident';
-          announce();
+          announce(slot.askers);
         }
       },
       wanted,
@@ -246,7 +277,7 @@
         slot.state = 'resident';
         slot.since = host.now();
         remember(slot);
-        announce();
+        announce(slot.askers);
       } else {
         slot.dueAt = host.now() + CONFIRM_AGAIN_MS;
       }
@@ -279,6 +310,10 @@
     const isUncertain = outcome === 'noAnswer';
     if (isUncertain) {
       Object.assign(slot, { state: 'uncertain' });
+      isSuspect = true;
+      if (wanted) {
+        host.refuse(wanted, 'failed');
+      }
     } else if (wanted) {
       slots = slots.filter((other) => other !== slot);
       if (outcome === 'refused') {
@@ -292,18 +327,63 @@
     return readAfter - host.now();
   }
 
+  /** Sends an order, again where no answer comes. */
   async function send(
     name: string,
     order: EngineOrder,
   ): Promise<'accepted' | 'held' | EngineFault['kind']> {
-    const fence = host.tryGetFence(host.now());
-    if (fence === undefined) {
-      return 'notSent';
+    const maxSends = order.adapter === undefined ? 1 : MAX_SENDS;
+    for (let sends = 1; ; sends += 1) {
+      const fence = host.tryGetFence(host.now());
+      if (fence === undefined) {
+        return sends > 1 ? 'noAnswer' : 'notSent';
+      }
+      const outcome = await host.order(order, { fence, expectedSequence: sequence });
+      const result = getResult(name, outcome, sends > 1);
+      noteOrder(name, result);
+      host.log('engineOrdered', {
+        engine: upstream.id,
+        order: name,
+        adapter: order.adapter ?? order.model,
+        version: order.version,
+        fence,
+        expected: sequence,
+        outcome: result,
+        reason: outcome.ok ? undefined : (outcome.error as { reason?: string }).reason,
+        sends,
+        waiting: wants.length,
+      });
+      if (result !== 'noAnswer' || sends === maxSends) {
+        return result;
+      }
+    }
+  }
+
+  /**
+   * What an answer says. A conflict after a try without an answer means that this try was carried
+   * out: nobody else knows the count, once this owner has moved it itself.
+   */
+  function getResult(
+    name: string,
+    outcome: Outcome<'accepted' | 'held', EngineFault>,
+    isRepeated: boolean,
+  ): 'accepted' | 'held' | EngineFault['kind'] {
+    if (outcome.ok) {
+      return outcome.value;
     }
-    const outcome = await host.order(order, { fence, expectedSequence: sequence });
-    const result = outcome.ok ? outcome.value : outcome.error.kind;
+    const isOurCount = firstSequence !== undefined && sequence > firstSequence;
+    const isDone =
+      outcome.error.kind === 'conflict' && isRepeated && isOurCount && name !== 'confirm';
+    return isDone ? 'accepted' : outcome.error.kind;
+  }
+
+  /** Counts an order that the engine has counted; uncertain orders under the old count are void. */
+  function noteOrder(name: string, result: 'accepted' | 'held' | EngineFault['kind']): void {
     // Repeating a load that is under way is accepted but not counted; every unload is counted.
-    const isCounted = name === 'unload' ? outcome.ok : result === 'accepted' && name !== 'confirm';
+    const isCounted =
+      name === 'unload'
+        ? result === 'accepted' || result === 'held'
+        : result === 'accepted' && name !== 'confirm';
     if (isCounted) {
       sequence += 1;
       slots = slots.filter(
@@ -311,18 +391,19 @@
       );
     }
     host.countOrder(name, result);
-    host.log('engineOrdered', {
-      engine: upstream.id,
-      order: name,
-      adapter: order.adapter ?? order.model,
-      version: order.version,
-      fence,
-      expected: sequence,
-      outcome: result,
-      reason: outcome.ok ? undefined : (outcome.error as { reason?: string }).reason,
-      waiting: wants.length,
-    });
-    return result;
+  }
+
+  /** Tells whether the engine answers; while it does not, nothing can be had there. */
+  function setReachable(next: boolean): void {
+    if (next === isReachable) {
+      return;
+    }
+    isReachable = next;
+    host.log(next ? 'engineRegained' : 'engineLost', { engine: upstream.id });
+    announce();
+    if (!next) {
+      refuseAll('failed');
+    }
   }
 
   function remember(slot: Slot): void {
@@ -337,20 +418,19 @@
     wants = [];
   }
 
-  function announce(): void {
-    host.announce({
-      engine: upstream.id,
-      startedAt: upstream.startedAt,
-      queued: wants.length,
-      models,
-      adapters: slots
-        .filter((slot) => slot.state !== 'uncertain')
-        .map(({ key, version, state }) => ({
-          key,
-          version,
-          state: state as 'loading' | 'resident' | 'leaving',
-        })),
-    });
+  function announce(askers: readonly string[] = []): void {
+    const adapters = slots
+      .filter((slot) => slot.state !== 'uncertain')
+      .map(({ key, version, state }) => ({
+        key,
+        version,
+        state: state as 'loading' | 'resident' | 'leaving',
+      }));
+    const { id, startedAt } = upstream;
+    host.announce(
+      { engine: id, startedAt, isReachable, queued: wants.length, models, adapters },
+      askers,
+    );
   }
 
   /** Reads the engine again, since a VM found something else there. */
@@ -372,5 +452,5 @@
 }
 
 function createSlot(now: number, key: string, version: number, state: Slot['state']): Slot {
-  return { key, version, state, since: now, dueAt: now, sentAtSequence: undefined };
+  return { key, version, state, since: now, dueAt: now, sentAtSequence: undefined, askers: [] };
 }
--- a/src/engines/createEngineViews.ts
+++ b/src/engines/createEngineViews.ts
@@ -34,6 +34,7 @@
       fence: 0,
       sequence: 0,
       canLoad: false,
+      isReachable: true,
       queued: 0,
       models: upstream.models.map(({ name, version }) => ({ name, version })),
       adapters: upstream.models.flatMap((model) =>
@@ -55,6 +56,19 @@
     return held !== undefined && held.version >= version;
   }
 
+  /** Whether an engine's owner has told that it gets no answer there. */
+  function isUnreachable(engine: string): boolean {
+    return views.get(engine)?.isReachable === false;
+  }
+
+  /** Loads that are on their way to all engines but one. */
+  function getLoadingElsewhere(engine: string): number {
+    return [...views.values()]
+      .filter((view) => view.engine !== engine)
+      .flatMap((view) => view.adapters)
+      .filter((adapter) => adapter.state === 'loading').length;
+  }
+
   /** An engine did not hold an adapter: it is not used there until its owner tells again. */
   function withdraw(engine: string, key: string): void {
     const view = views.get(engine);
@@ -71,6 +85,8 @@
     withdraw,
     describe,
     isResident,
+    isUnreachable,
+    getLoadingElsewhere,
     tryGet: (engine: string) => views.get(engine),
     remove: (engine: string) => views.delete(engine),
   };
--- a/src/engines/createOwnedEngines.ts
+++ b/src/engines/createOwnedEngines.ts
@@ -13,8 +13,10 @@
   tryGetFence(now: number, engine: string): number | undefined;
   getVersion(key: string): number;
   getEngineService(service: string): Service['engine'];
-  /** Tells all VMs, this one among them. */
-  announce(state: EngineState): void;
+  /** Loads that may be on their way to an engine now. */
+  getMaxLoading(engine: string): number;
+  /** Tells all VMs, this one among them; those that wait for an adapter in it at once. */
+  announce(state: EngineState, askers: readonly string[]): void;
   /** Tells a VM that an adapter is not loaded now. */
   refuse(asker: string, engine: string, key: string): void;
   countOrder(kind: string, outcome: string): void;
@@ -49,8 +51,9 @@
         getUse: (now, key) => parts.usage.getUse(now, id, key),
         getVersion: host.getVersion,
         getModels: () => getService()?.models ?? [],
+        getMaxLoading: () => host.getMaxLoading(id),
         getPlaces: () => getService()?.adapterSlots ?? 0,
-        announce: (state) => announce(state),
+        announce,
         refuse: (want, reason) => {
           host.log('loadRefused', { engine: id, adapter: want.key, reason });
           want.askers.forEach((asker) => host.refuse(asker, id, want.key));
@@ -69,17 +72,20 @@
     lastStates.delete(id);
   }
 
-  function announce(state: Omit<EngineState, 'fence' | 'sequence' | 'canLoad'>): void {
+  function announce(
+    state: Omit<EngineState, 'fence' | 'sequence' | 'canLoad'>,
+    askers: readonly string[],
+  ): void {
     const fence = host.tryGetFence(host.now(), state.engine);
     stateSequence += 1;
     const whole = {
       ...state,
       fence: fence ?? lastStates.get(state.engine)?.fence ?? 0,
       sequence: stateSequence,
-      canLoad: fence !== undefined,
+      canLoad: fence !== undefined && state.isReachable,
     };
     lastStates.set(state.engine, whole);
-    host.announce(whole);
+    host.announce(whole, askers);
   }
 
   /** Begins anew where an engine has restarted under its id. */
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -148,6 +148,8 @@
           { kind: 'loadRefused' },
           { kind: 'engineDoubted' },
           { kind: 'usage' },
+          { kind: 'share' },
+          { kind: 'forward' },
           { kind: 'turnWanted' },
           { kind: 'turn' },
           { kind: 'turnOver' },
--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -63,20 +63,19 @@
     const key = getAdapterKey(model, adapter);
     let isLoaded = true;
     while (isLoaded) {
-      const placed = placeWhereResident(job, key, avoid);
+      const placed = placeWhereResident(job, key, avoid, views.isUnreachable);
       if (placed) {
         return placed;
       }
-      if (adapter === undefined) {
-        return refuse('noUpstream');
-      }
-
-      isLoaded = await waitForLoad(job, { model, adapter, key });
+      isLoaded = adapter !== undefined && (await waitForLoad(job, { model, adapter, key }));
       if (job.isCallerGone) {
-        break;
+        return refuse('noAdapter');
       }
     }
-    return refuse('noAdapter');
+    // The owner alone may be cut off from an engine with which this VM had no trouble.
+    const isLost = (id: string) => views.isUnreachable(id) && health.isSuspended(host.now(), id);
+    const last = placeWhereResident(job, key, avoid, isLost);
+    return last ?? refuse(adapter === undefined ? 'noUpstream' : 'noAdapter');
   }
 
   function placeAnywhere(job: Job, avoid: ReadonlySet<string>): Outcome<Place, Refusal> {
@@ -93,11 +92,12 @@
     job: Job,
     key: string,
     avoid: ReadonlySet<string>,
+    isLeftOut: (engine: string) => boolean,
   ): Outcome<Place, Refusal> | undefined {
     const now = host.now();
     const version = host.getVersion(key);
     const ready = upstreams.getReady(job.service);
-    const holders = ready.filter((upstream) => views.isResident(upstream.id, key, version));
+    const holders = ready.filter(({ id }) => views.isResident(id, key, version) && !isLeftOut(id));
     const chosen = chooseUpstream(getCandidates(now, holders, avoid), options.dataCentre);
     const upstream = chosen && upstreams.tryGet(chosen.id);
     if (!upstream) {
@@ -173,7 +173,7 @@
         inFlight: usage.getInFlight(now, id),
         failureShare: health.getFailureShare(now, id),
         slowness: health.getSlowness(id, ids),
-        isSuspended: health.isSuspended(now, id),
+        isSuspended: health.isSuspended(now, id) || views.isUnreachable(id),
       }));
   }
 
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -3,6 +3,7 @@
 import createOwnedEngines from '../engines/createOwnedEngines';
 import createLoads from '../engines/createLoads';
 import createOwnerships from '../engines/createOwnerships';
+import getMaxLoading from '../engines/getMaxLoading';
 import getAdapterKey from '../engines/getAdapterKey';
 import type Call from '../gateway/Call';
 import createAttempts from '../gateway/createAttempts';
@@ -22,12 +23,16 @@
 import type Upstream from '../upstream/Upstream';
 import createTurnKeeper from '../turns/createTurnKeeper';
 import createTurnTaker from '../turns/createTurnTaker';
+import createSpread from '../spread/createSpread';
 import createUsage from '../usage/createUsage';
+import createUsageTeller from '../usage/createUsageTeller';
 import createPlacement from './createPlacement';
 import type RoutedEntryHost from './RoutedEntryHost';
 
 /** VMs that read the key-value service for all: one may be lost without a pause. */
 const READERS = 2;
+/** A VM that has just started hears too few others to know who reads for all. */
+const READER_SETTLE_MS = 2000;
 const USAGE_PAUSE_MS = 250;
 /** Owners repeat their engines' states for VMs that missed one. */
 const REPEAT_STATES_MS = 2000;
@@ -50,6 +55,7 @@
 export default function createRoutedEntry(host: RoutedEntryHost, options: Options) {
   const { address } = options;
   const incarnation = host.getNonce();
+  const startedAt = host.now();
   const metrics = createMetrics();
   const usage = createUsage();
   const health = createUpstreamHealth();
@@ -62,9 +68,10 @@
     ...host,
     feed: host.keyValue,
     isReader: (now) =>
+      now - startedAt >= READER_SETTLE_MS &&
       rankByRendezvous('readers', members.getServing(now)).slice(0, READERS).includes(address),
-    spread: (news) => broadcast({ kind: 'news', ...news }),
-    askPeers: () => broadcast({ kind: 'newsWanted' }),
+    spread: (news) => spread.spread({ kind: 'news', ...news }),
+    askPeers: () => spread.ask({ kind: 'newsWanted' }),
     onChange: applyChange,
   });
   const members = createMembers(
@@ -89,6 +96,7 @@
       leaseSeconds: options.leaseSeconds,
     },
   );
+  const spread = createSpread({ ...host, members }, options);
   const upstreams = createUpstreams({
     ...host,
     getStoreFailedAt: mirror.getFailedAt,
@@ -100,6 +108,7 @@
     onGone: (id) => {
       views.remove(id);
       health.forget(id);
+      usage.forget(id);
       turns.remove(id);
       engines.close(id);
     },
@@ -121,9 +130,11 @@
       tryGetFence: ownerships.tryGetFence,
       getVersion,
       getEngineService: (service) => manifest?.services.get(service)?.engine,
-      announce: (state) => {
+      getMaxLoading: (engine) =>
+        getMaxLoading(getEngineIds().length, views.getLoadingElsewhere(engine)),
+      announce: (state, askers) => {
         receive(address, { kind: 'engineState', ...state });
-        broadcast({ kind: 'engineState', ...state });
+        teller.tellState(state, askers);
       },
       refuse: (asker, engine, key) => sendOrDeliver(asker, { kind: 'loadRefused', engine, key }),
       countOrder: (kind, outcome) => metrics.loads.inc({ outcome: `${kind} ${outcome}` }),
@@ -131,6 +142,23 @@
     { upstreams, usage },
     options,
   );
+  const teller = createUsageTeller(
+    {
+      ...host,
+      tryGetOwner,
+      spread,
+      getEngines: (now) => {
+        const backlogs = turns.getBacklogs(engines.getIds());
+        return backlogs.map(([engine, backlogMs]) => ({
+          engine,
+          backlogMs,
+          busy: usage.getBusy(now, engine),
+        }));
+      },
+    },
+    usage,
+    options,
+  );
   const placement = createPlacement(
     {
       ...host,
@@ -204,6 +232,17 @@
     metrics,
   });
 
+  function getSource(from: string, dataCentre: string | undefined) {
+    if (dataCentre === undefined) {
+      return { kind: 'vm' as const, name: from };
+    }
+    const isOwn = dataCentre === options.dataCentre;
+    return {
+      kind: isOwn ? ('ownDataCentre' as const) : ('otherDataCentre' as const),
+      name: dataCentre,
+    };
+  }
+
   function getVersion(key: string): number {
     return versions.get(key) ?? 0;
   }
@@ -272,10 +311,6 @@
     return host.send(to, message);
   }
 
-  function broadcast(message: Message): void {
-    members.getMembers().forEach((member) => host.send(member.address, message));
-  }
-
   /** Takes a message of another entry VM, or one that this VM sends to itself. */
   function receive(from: string, message: Message): void {
     const now = host.now();
@@ -288,9 +323,26 @@
           host.send(from, { kind: 'news', ...whole });
         }
       })
-      .with({ kind: 'usage' }, ({ share, backlogs: told }) => {
-        usage.receive(now, from, share);
-        turns.receive(told);
+      .with({ kind: 'forward' }, (forwarded) => {
+        const inner = spread.receiveForward(forwarded.message);
+        if (inner) {
+          receive(from, inner);
+        }
+      })
+      .with({ kind: 'share' }, ({ upstream, share }) =>
+        usage.receiveShare(now, from, upstream, share),
+      )
+      .with({ kind: 'usage' }, (tidings) => {
+        const { dataCentre, loads: told } = tidings;
+        usage.receiveLoads(now, getSource(from, dataCentre), told);
+        tidings.engines.forEach(({ engine, backlogMs, busy }) => {
+          turns.receive([[engine, backlogMs]]);
+          usage.receiveBusy(now, engine, busy);
+        });
+        teller.collect(tidings);
+        if (tidings.states.filter(views.announce).length > 0) {
+          loads.notice();
+        }
       })
       .with({ kind: 'engineState' }, (state) => {
         if (views.announce(state)) {
@@ -329,13 +381,7 @@
     mirror.start();
     members.start();
     createRepeater(host, OWNERSHIP_PAUSE_MS, () => ownerships.tick(getEngineIds()));
-    createRepeater(host, USAGE_PAUSE_MS, () =>
-      broadcast({
-        kind: 'usage',
-        share: usage.getShare(host.now()),
-        backlogs: turns.getBacklogs(engines.getIds()),
-      }),
-    );
+    createRepeater(host, USAGE_PAUSE_MS, teller.tell);
     createRepeater(host, REPEAT_STATES_MS, () => engines.repeatStates());
   }
 
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -37,6 +37,8 @@
   engineGivenUp: e(406, 'info', 'This entry VM no longer gives orders to an engine.'),
   ownershipRefused: e(407, 'info', 'An engine could not be taken.'),
   engineRead: e(408, 'info', 'The owner read what an engine holds.'),
+  engineLost: e(417, 'warn', 'An engine does not answer its owner.'),
+  engineRegained: e(418, 'info', 'An engine answers its owner again.'),
   engineOrdered: e(409, 'info', 'An order was given to an engine.'),
   loadDone: e(410, 'info', 'An adapter was loaded.'),
   loadFailed: e(411, 'warn', 'A load failed.'),
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -12,6 +12,10 @@
 const HEARTBEAT_PAUSE_MS = 450;
 /** Each so many heartbeats tell all; the others only what changes often. */
 const BEATS_TO_WHOLE = 5;
+/** Up to so many VMs every heartbeat is sent; beyond, heartbeats and judgements slow down with the number. */
+const FULL_RATE_MEMBERS = 48;
+/** The list of VMs that are heard grows with their number: a large one is sent this much more seldom. */
+const LARGE_BEATS_TO_WHOLE = 20;
 const DEAD_AFTER_MS = 1500;
 /** Shorter than `DEAD_AFTER_MS`, so that word of a dead VM is not passed on for long. */
 const TOLD_HEARD_MS = 1000;
@@ -61,39 +65,62 @@
   let stops: (() => void)[] = [];
   let startedAt = Infinity;
   let beats = 0;
+  let beatenAt = -Infinity;
   let lastHeard = '';
   const redialledAt = new Map<string, number>();
 
   function start(): void {
     startedAt = host.now();
     stops = [
-      createRepeater(host, HEARTBEAT_PAUSE_MS, beat),
+      createRepeater(host, HEARTBEAT_PAUSE_MS, beatWhenDue),
       createRepeater(host, REGISTRY_PAUSE_MS, keepRegistered),
       createRepeater(host, LIST_PAUSE_MS, readList),
     ];
   }
 
+  /** How much slower than usual this VM beats and judges, for the number of VMs. */
+  function getSlowness(): number {
+    return Math.max(1, members.size / FULL_RATE_MEMBERS);
+  }
+
+  function getDeadAfterMs(): number {
+    return DEAD_AFTER_MS * getSlowness();
+  }
+
+  function beatWhenDue(): void {
+    const pauseMs = HEARTBEAT_PAUSE_MS * getSlowness();
+    if (host.now() - beatenAt >= pauseMs - HEARTBEAT_PAUSE_MS / 2) {
+      beat();
+    }
+  }
+
   function beat(): void {
     const now = host.now();
     const addresses = getKnownAddresses();
+    beatenAt = now;
     host.setPeers(addresses);
     const brief: Heartbeat = { kind: 'heartbeat', state, ...host.describe(now) };
     const heard = getHeard(now);
     const { incarnation, dataCentre, callerAddress } = options;
     const whole = { ...brief, about: { incarnation, dataCentre, callerAddress, heard } };
     beats += 1;
-    const isWhole = beats % BEATS_TO_WHOLE === 0 || heard.join() !== lastHeard;
+    const isLarge = members.size > FULL_RATE_MEMBERS;
+    const isWhole =
+      beats % (isLarge ? LARGE_BEATS_TO_WHOLE : BEATS_TO_WHOLE) === 0 ||
+      (!isLarge && heard.join() !== lastHeard);
     lastHeard = heard.join();
-    addresses.forEach((address) =>
-      host.send(address, isWhole || !isHeard(now, address) ? whole : brief),
-    );
+    addresses.forEach((address) => {
+      const isNew = !isHeard(now, address);
+      const hearsYou = heard.includes(address);
+      host.send(address, { ...(isWhole || isNew ? whole : brief), hearsYou });
+    });
     members.forEach((member) => redialWhereSilent(now, member));
   }
 
   /** Replaces the link to a VM that is not heard: both ways may have been lost track of. */
   function redialWhereSilent(now: number, member: Member): void {
     const last = Math.max(member.heardAt, redialledAt.get(member.address) ?? -Infinity);
-    if (now - last > UNHEARD_BEFORE_REDIAL_MS) {
+    if (now - last > UNHEARD_BEFORE_REDIAL_MS * getSlowness()) {
       redialledAt.set(member.address, now);
       host.redial(member.address);
     }
@@ -196,16 +223,16 @@
       heard: new Set(about.heard),
     };
     members.set(from, member);
-    redialWhereUnheard(now, member);
+    redialWhereUnheard(now, member, message.hearsYou ?? member.heard.has(options.address));
     host.onHeard(now, member);
   }
 
-  function redialWhereUnheard(now: number, member: Member): void {
+  function redialWhereUnheard(now: number, member: Member, hearsUs: boolean): void {
     const last = redialledAt.get(member.address) ?? now - UNHEARD_BEFORE_REDIAL_MS / 2;
     redialledAt.set(member.address, last);
-    if (member.heard.has(options.address)) {
+    if (hearsUs) {
       redialledAt.set(member.address, now);
-    } else if (now - last > UNHEARD_BEFORE_REDIAL_MS) {
+    } else if (now - last > UNHEARD_BEFORE_REDIAL_MS * getSlowness()) {
       redialledAt.set(member.address, now);
       host.redial(member.address);
     }
@@ -213,20 +240,20 @@
 
   function getHeard(now: number): string[] {
     return [...members.values()]
-      .filter((member) => now - member.heardAt < TOLD_HEARD_MS)
+      .filter((member) => now - member.heardAt < TOLD_HEARD_MS * getSlowness())
       .map((member) => member.address);
   }
 
   /** Whether a VM was heard by this one just now. */
   function isHeard(now: number, address: string): boolean {
     const member = members.get(address);
-    return member !== undefined && now - member.heardAt < DEAD_AFTER_MS;
+    return member !== undefined && now - member.heardAt < getDeadAfterMs();
   }
 
   /** A VM that is heard here and hears another one, which is not heard here. */
   function tryGetRelay(now: number, address: string): string | undefined {
     return [...members.values()].find(
-      (member) => now - member.heardAt < DEAD_AFTER_MS && member.heard.has(address),
+      (member) => now - member.heardAt < getDeadAfterMs() && member.heard.has(address),
     )?.address;
   }
 
@@ -241,7 +268,7 @@
   /** The VMs that take new work, this one among them unless it is leaving. */
   function getServing(now: number): string[] {
     const serving = [...members.values()]
-      .filter((member) => member.state === 'live' && now - member.heardAt < DEAD_AFTER_MS)
+      .filter((member) => member.state === 'live' && now - member.heardAt < getDeadAfterMs())
       .filter((member) => !isListedLeaving(member.address))
       .map((member) => member.address);
     return state === 'live' ? [options.address, ...serving] : serving;
@@ -261,7 +288,7 @@
     }
     const member = members.get(address);
     const heardAt = member?.heardAt ?? -Infinity;
-    return registryReadAt > heardAt + DEAD_AFTER_MS && !registered.has(address);
+    return registryReadAt > heardAt + getDeadAfterMs() && !registered.has(address);
   }
 
   /** The VMs that may hold grants: all that were ever known and are not known to be gone. */
@@ -290,7 +317,7 @@
    * others, and hears most of them.
    */
   function canJudge(now: number): boolean {
-    return now - startedAt >= DEAD_AFTER_MS + HEARTBEAT_PAUSE_MS && hasMajority(now);
+    return now - startedAt >= getDeadAfterMs() + HEARTBEAT_PAUSE_MS && hasMajority(now);
   }
 
   /** Leaves: no new work after the next heartbeat; the registration stays until `stop`. */
@@ -332,6 +359,7 @@
     isLeaving: () => state === 'leaving',
     hasLease: (now: number) => now < leaseValidUntil,
     getMembers: () => [...members.values()],
+    getCount: () => members.size,
     getUpstreamStates: () =>
       new Map(
         listed
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -38,6 +38,25 @@
   value: z.string().optional(),
 });
 
+/** What the owner of an engine tells of it; see `EngineState`. */
+const State = z.object({
+  engine: z.string(),
+  startedAt: z.number(),
+  fence: z.number(),
+  sequence: z.number(),
+  canLoad: z.boolean(),
+  isReachable: z.boolean(),
+  queued: z.number(),
+  models: z.array(z.object({ name: z.string(), version: z.number() })),
+  adapters: z.array(
+    z.object({
+      key: z.string(),
+      version: z.number(),
+      state: z.enum(['loading', 'resident', 'leaving']),
+    }),
+  ),
+});
+
 /** Everything that one entry VM says to another. Times are durations: clocks are not compared. */
 const Message = z.discriminatedUnion('kind', [
   z.object({
@@ -61,6 +80,8 @@
     /** Age of the last proof that the table is the platform's; undefined without one. */
     confirmedAgeMs: z.number().optional(),
     inFlight: z.number(),
+    /** Whether the sender hears the receiver. */
+    hearsYou: z.boolean().optional(),
   }),
   z.object({ kind: z.literal('rowsWanted'), since: z.number() }),
   z.object({
@@ -140,23 +161,7 @@
   }),
   /** Asks for all that the receiver holds of the key-value service. */
   z.object({ kind: z.literal('newsWanted') }),
-  z.object({
-    kind: z.literal('engineState'),
-    engine: z.string(),
-    startedAt: z.number(),
-    fence: z.number(),
-    sequence: z.number(),
-    canLoad: z.boolean(),
-    queued: z.number(),
-    models: z.array(z.object({ name: z.string(), version: z.number() })),
-    adapters: z.array(
-      z.object({
-        key: z.string(),
-        version: z.number(),
-        state: z.enum(['loading', 'resident', 'leaving']),
-      }),
-    ),
-  }),
+  z.object({ kind: z.literal('engineState'), ...State.shape }),
   /** Asks the owner of an engine to load an adapter there. */
   z.object({
     kind: z.literal('loadWanted'),
@@ -183,18 +188,31 @@
   }),
   z.object({ kind: z.literal('turn'), id: z.string(), isGranted: z.boolean() }),
   z.object({ kind: z.literal('turnOver'), engine: z.string(), id: z.string() }),
-  /** The sender's requests by upstream: adapter, requests in progress, idle milliseconds. */
+  /** The requests in progress of the sender, or of a whole data centre, and news of engines. */
   z.object({
     kind: z.literal('usage'),
-    /** Milliseconds of prompts that wait at the engines that the sender owns. */
-    backlogs: z.array(z.tuple([z.string(), z.number()])),
-    share: z.array(
+    /** Set where the figures are the sum of a data centre. */
+    dataCentre: z.string().optional(),
+    loads: z.array(z.tuple([z.string(), z.number()])),
+    engines: z.array(
       z.object({
-        upstream: z.string(),
-        uses: z.array(z.tuple([z.string(), z.number(), z.number()])),
+        engine: z.string(),
+        /** Milliseconds of prompts that wait there. */
+        backlogMs: z.number(),
+        /** Adapters in use and their requests in progress. */
+        busy: z.array(z.tuple([z.string(), z.number()])),
       }),
     ),
+    states: z.array(State),
+  }),
+  /** The sender's requests at one engine, for its owner: adapter, in progress, idle milliseconds. */
+  z.object({
+    kind: z.literal('share'),
+    upstream: z.string(),
+    share: z.array(z.tuple([z.string(), z.number(), z.number()])),
   }),
+  /** To be taken by the receiver and passed on to the VMs of its data centre. */
+  z.object({ kind: z.literal('forward'), message: z.unknown() }),
   z.object({ kind: z.literal('callInquiry'), key: z.string(), nonce: z.string() }),
   z.object({
     kind: z.literal('callStatus'),
--- a/src/mesh/createMesh.ts
+++ b/src/mesh/createMesh.ts
@@ -53,6 +53,8 @@
   const accepted = new Set<net.Socket>();
   let peers = new Set<string>();
   let closed = false;
+  /** The last message and its frame: the same one is often sent to many VMs in a row. */
+  let last: { message: Message; frame: Buffer } | undefined;
   const server = net.createServer(accept);
 
   function listen(): Promise<void> {
@@ -218,7 +220,8 @@
       endLink(to, 'queueFull');
       return false;
     }
-    const frame = encodeFrame(message);
+    const frame = last?.message === message ? last.frame : encodeFrame(message);
+    last = { message, frame };
     link.socket.write(frame);
     host.onSent(message.kind, frame.length);
     return true;
--- a/src/usage/Share.ts
+++ b/src/usage/Share.ts
@@ -1,4 +1,4 @@
-/** One VM's requests by upstream: adapter, requests in progress, milliseconds since its last use. */
-type Share = { upstream: string; uses: [string, number, number][] }[];
+/** One VM's requests at one upstream: adapter, requests in progress, milliseconds since its last use. */
+type Share = [string, number, number][];
 
 export default Share;
--- a/src/usage/createUsage.ts
+++ b/src/usage/createUsage.ts
@@ -1,123 +1,223 @@
+import type Loads from './Loads';
 import type Share from './Share';
 
-/** Longer than some lost reports, shorter than a stream: a silent VM's share is then dropped. */
-const SHARE_VALID_MS = 3000;
-/** Adapters used within this time are told to the others. */
+/** Longer than some lost reports, shorter than a stream: what a silent VM has told is then dropped. */
+const VALID_MS = 3000;
+/** Adapters used within this time are told to the engine's owner. */
 const RECENT_MS = 2000;
 const FORGET_MS = 60_000;
+/** What has not changed is told again after this, well before it ceases to be valid. */
+const TELL_AGAIN_MS = 1000;
 
 interface Use {
   inFlight: number;
   lastUsedAt: number;
 }
 
-/** Counts the requests in progress by upstream and adapter, those of the other VMs included. */
+/** Whose requests a sum counts: one VM's, or those of all VMs of this or of another data centre. */
+interface Source {
+  kind: 'vm' | 'ownDataCentre' | 'otherDataCentre';
+  name: string;
+}
+
+/**
+ * Counts the requests in progress. Every VM knows the sum at each upstream; the uses of single
+ * adapters are told to the engine's owner, who tells all which adapters are in use.
+ */
 export default function createUsage() {
-  const own = new Map<string, Map<string, Use>>();
-  const others = new Map<string, { at: number; uses: Map<string, Map<string, Use>> }>();
+  const own = new Map<string, { sum: number; changedAt: number; uses: Map<string, Use> }>();
+  const sources = new Map<string, Source & { at: number; loads: Map<string, number> }>();
+  const shares = new Map<string, Map<string, { at: number; uses: Map<string, Use> }>>();
+  const busy = new Map<string, { at: number; uses: Map<string, number> }>();
+  const toldAt = new Map<string, number>();
+  let toldLoads = new Map<string, number>();
 
   /** Counts a request in; the answer counts it out, once. */
   function begin(now: number, upstream: string, adapter: string): (now: number) => void {
-    const adapters = own.get(upstream) ?? new Map<string, Use>();
-    own.set(upstream, adapters);
-    const use = adapters.get(adapter) ?? { inFlight: 0, lastUsedAt: now };
-    adapters.set(adapter, use);
-    use.inFlight += 1;
-    use.lastUsedAt = now;
+    const part = own.get(upstream) ?? { sum: 0, changedAt: now, uses: new Map<string, Use>() };
+    own.set(upstream, part);
+    const use = part.uses.get(adapter) ?? { inFlight: 0, lastUsedAt: now };
+    part.uses.set(adapter, use);
+    const count = (at: number, difference: number) => {
+      use.inFlight += difference;
+      use.lastUsedAt = at;
+      part.sum += difference;
+      part.changedAt = at;
+    };
+    count(now, 1);
     let isOpen = true;
     return (endedAt) => {
       if (isOpen) {
         isOpen = false;
-        use.inFlight -= 1;
-        use.lastUsedAt = endedAt;
+        count(endedAt, -1);
       }
     };
   }
 
-  /** This VM's part, for the others; forgets what was not used for long. */
-  function getShare(now: number): Share {
-    const share: Share = [];
-    own.forEach((adapters, upstream) => {
-      const uses: Share[number]['uses'] = [];
-      adapters.forEach((use, adapter) => {
-        const idleMs = use.inFlight > 0 ? 0 : Math.round(now - use.lastUsedAt);
-        if (idleMs > FORGET_MS) {
-          adapters.delete(adapter);
-        } else if (idleMs < RECENT_MS) {
-          uses.push([adapter, use.inFlight, idleMs]);
-        }
-      });
-      if (uses.length > 0) {
-        share.push({ upstream, uses });
+  /** This VM's requests in progress, to be told to others now. */
+  function takeLoads(): Loads {
+    const loads = getOwnLoads();
+    toldLoads = new Map(loads);
+    return loads;
+  }
+
+  function getOwnLoads(): Loads {
+    return [...own]
+      .filter(([, { sum }]) => sum > 0)
+      .map(([upstream, { sum }]): [string, number] => [upstream, sum]);
+  }
+
+  /** The sum of this VM's requests and those that single other VMs have told. */
+  function getMergedLoads(now: number): Loads {
+    const sums = new Map(getOwnLoads());
+    forEachSource(now, (source) => {
+      if (source.kind === 'vm') {
+        source.loads.forEach((count, upstream) =>
+          sums.set(upstream, (sums.get(upstream) ?? 0) + count),
+        );
+      }
+    });
+    return [...sums];
+  }
+
+  /**
+   * This VM's uses of adapters that are to be told now: those of upstreams where they have
+   * changed, or where what was told would soon cease to be valid.
+   */
+  function takeShares(now: number): { upstream: string; share: Share }[] {
+    return [...own].flatMap(([upstream, part]) => {
+      const last = toldAt.get(upstream) ?? -Infinity;
+      const isStale = part.sum > 0 && now - last >= TELL_AGAIN_MS;
+      if (part.changedAt < last && !isStale) {
+        return [];
+      }
+      toldAt.set(upstream, now);
+      return [{ upstream, share: getShare(now, part.uses) }];
+    });
+  }
+
+  function receiveLoads(now: number, source: Source, loads: Loads): void {
+    // The sum of this data centre replaces the figures of single VMs, and the other way round.
+    sources.forEach((known, name) => {
+      if (isReplaced(known, source)) {
+        sources.delete(name);
       }
     });
-    return share;
+    sources.set(source.name, { ...source, at: now, loads: new Map(loads) });
   }
 
-  function receive(now: number, from: string, share: Share): void {
+  function receiveShare(now: number, from: string, upstream: string, share: Share): void {
+    const known = shares.get(upstream) ?? new Map<string, { at: number; uses: Map<string, Use> }>();
+    shares.set(upstream, known);
     const uses = new Map(
-      share.map((part) => [
-        part.upstream,
-        new Map(
-          part.uses.map(([adapter, inFlight, idleMs]) => [
-            adapter,
-            { inFlight, lastUsedAt: now - idleMs },
-          ]),
-        ),
-      ]),
+      share.map(([adapter, inFlight, idleMs]) => [adapter, { inFlight, lastUsedAt: now - idleMs }]),
     );
-    const before = others.get(from)?.uses;
-    before?.forEach((adapters, upstream) => keepLastUse(uses, upstream, adapters));
-    others.set(from, { at: now, uses });
+    known.get(from)?.uses.forEach((use, adapter) => {
+      if (!uses.has(adapter) && now - use.lastUsedAt < FORGET_MS) {
+        uses.set(adapter, { inFlight: 0, lastUsedAt: use.lastUsedAt });
+      }
+    });
+    known.set(from, { at: now, uses });
+  }
+
+  /** Takes what an engine's owner tells: adapters in use and their requests. */
+  function receiveBusy(now: number, engine: string, adapters: [string, number][]): void {
+    busy.set(engine, { at: now, uses: new Map(adapters) });
   }
 
-  function forEachValid(now: number, visit: (uses: Map<string, Map<string, Use>>) => void): void {
-    visit(own);
-    others.forEach((other, from) => {
-      if (now - other.at < SHARE_VALID_MS) {
-        visit(other.uses);
+  function forEachSource(
+    now: number,
+    visit: (source: Source & { loads: Map<string, number> }) => void,
+  ): void {
+    sources.forEach((source, name) => {
+      if (now - source.at < VALID_MS) {
+        visit(source);
       } else {
-        others.delete(from);
+        sources.delete(name);
       }
     });
   }
 
   /** Requests in progress at an upstream from all VMs. */
   function getInFlight(now: number, upstream: string): number {
-    let sum = 0;
-    forEachValid(now, (uses) => {
-      uses.get(upstream)?.forEach((use) => {
-        sum += use.inFlight;
-      });
+    let sum = own.get(upstream)?.sum ?? 0;
+    forEachSource(now, ({ kind, loads }) => {
+      const counted = kind === 'ownDataCentre' ? (toldLoads.get(upstream) ?? 0) : 0;
+      sum += Math.max(0, (loads.get(upstream) ?? 0) - counted);
     });
     return sum;
   }
 
+  /** Use of an adapter by all VMs; the last use by others is known to the engine's owner only. */
   function getUse(now: number, upstream: string, adapter: string): Use {
-    let inFlight = 0;
-    let lastUsedAt = -Infinity;
-    forEachValid(now, (uses) => {
-      const use = uses.get(upstream)?.get(adapter);
-      inFlight += use?.inFlight ?? 0;
+    const ownUse = own.get(upstream)?.uses.get(adapter);
+    let inFlight = ownUse?.inFlight ?? 0;
+    let lastUsedAt = ownUse?.lastUsedAt ?? -Infinity;
+    shares.get(upstream)?.forEach(({ at, uses }) => {
+      const use = uses.get(adapter);
+      inFlight += now - at < VALID_MS ? (use?.inFlight ?? 0) : 0;
       lastUsedAt = Math.max(lastUsedAt, use?.lastUsedAt ?? -Infinity);
     });
-    return { inFlight, lastUsedAt };
+    const told = busy.get(upstream);
+    const toldCount = told && now - told.at < VALID_MS ? (told.uses.get(adapter) ?? 0) : 0;
+    return { inFlight: Math.max(inFlight, toldCount), lastUsedAt };
+  }
+
+  /** The adapters of an upstream that are in use, and their requests, for all VMs. */
+  function getBusy(now: number, upstream: string): [string, number][] {
+    const sums = new Map<string, number>();
+    const add = (use: Use, adapter: string) => {
+      if (use.inFlight > 0) {
+        sums.set(adapter, (sums.get(adapter) ?? 0) + use.inFlight);
+      }
+    };
+    own.get(upstream)?.uses.forEach(add);
+    shares.get(upstream)?.forEach(({ at, uses }) => {
+      if (now - at < VALID_MS) {
+        uses.forEach(add);
+      }
+    });
+    return [...sums];
   }
 
-  return { begin, getShare, receive, getInFlight, getUse };
+  function forget(upstream: string): void {
+    shares.delete(upstream);
+    busy.delete(upstream);
+    toldAt.delete(upstream);
+  }
+
+  return {
+    begin,
+    takeLoads,
+    getMergedLoads,
+    takeShares,
+    receiveLoads,
+    receiveShare,
+    receiveBusy,
+    getInFlight,
+    getUse,
+    getBusy,
+    forget,
+  };
+}
+
+function isReplaced(known: Source, by: Source): boolean {
+  return (
+    (known.kind === 'vm' && by.kind === 'ownDataCentre') ||
+    (known.kind === 'ownDataCentre' && by.kind === 'vm')
+  );
 }
 
-/** Keeps when an adapter was last used by a VM that no longer names it. */
-function keepLastUse(
-  uses: Map<string, Map<string, Use>>,
-  upstream: string,
-  before: Map<string, Use>,
-): void {
-  const adapters = uses.get(upstream) ?? new Map<string, Use>();
-  uses.set(upstream, adapters);
-  before.forEach((use, adapter) => {
-    if (!adapters.has(adapter)) {
-      adapters.set(adapter, { inFlight: 0, lastUsedAt: use.lastUsedAt });
+/** Uses in progress or of late; forgets what was not used for long. */
+function getShare(now: number, uses: Map<string, Use>): Share {
+  const share: Share = [];
+  uses.forEach((use, adapter) => {
+    const idleMs = use.inFlight > 0 ? 0 : Math.round(now - use.lastUsedAt);
+    if (idleMs > FORGET_MS) {
+      uses.delete(adapter);
+    } else if (idleMs < RECENT_MS) {
+      share.push([adapter, use.inFlight, idleMs]);
     }
   });
+  return share;
 }
--- /dev/null
+++ b/src/usage/createUsageTeller.ts
@@ -0,0 +1,85 @@
+import type EngineState from '../engines/EngineState';
+import type Message from '../mesh/Message';
+import type createSpread from '../spread/createSpread';
+import type Usage from './Usage';
+
+type Tidings = Extract<Message, { kind: 'usage' }>;
+type EngineUse = Tidings['engines'][number];
+
+interface UsageTellerHost {
+  now(): number;
+  send(to: string, message: Message): boolean;
+  tryGetOwner(engine: string): string | undefined;
+  /** Engines that this VM owns: prompts that wait there, and adapters in use. */
+  getEngines(now: number): EngineUse[];
+  spread: ReturnType<typeof createSpread>;
+}
+
+/**
+ * Tells the other VMs of this VM's requests and engines. Where there are many VMs, the hub of each
+ * data centre adds up what the VMs there tell, and passes on the sum.
+ */
+export default function createUsageTeller(
+  host: UsageTellerHost,
+  usage: Pick<Usage, 'takeLoads' | 'takeShares' | 'getMergedLoads'>,
+  options: { address: string; dataCentre: string },
+) {
+  const { spread } = host;
+  const engines = new Map<string, EngineUse>();
+  const states = new Map<string, EngineState>();
+
+  /** Tells what has come up since the last time. */
+  function tell(): void {
+    const now = host.now();
+    usage.takeShares(now).forEach(({ upstream, share }) => {
+      const owner = host.tryGetOwner(upstream);
+      if (owner !== undefined && owner !== options.address) {
+        host.send(owner, { kind: 'share', upstream, share });
+      }
+    });
+    host.getEngines(now).forEach((use) => engines.set(use.engine, use));
+    const news = { engines: [...engines.values()], states: [...states.values()] };
+    engines.clear();
+    states.clear();
+    const hub = spread.isRelayed() ? spread.getHub(now) : undefined;
+    if (hub === options.address) {
+      const { dataCentre } = options;
+      usage.takeLoads();
+      spread.spread({ kind: 'usage', dataCentre, loads: usage.getMergedLoads(now), ...news });
+      return;
+    }
+    const message: Message = { kind: 'usage', loads: usage.takeLoads(), ...news };
+    if (hub === undefined) {
+      spread.spread(message);
+    } else {
+      host.send(hub, message);
+    }
+  }
+
+  /** Has an engine's state told: at once to the VMs that wait for it or where VMs are few. */
+  function tellState(state: EngineState, askers: readonly string[]): void {
+    const message: Message = { kind: 'engineState', ...state };
+    if (!spread.isRelayed()) {
+      spread.spread(message);
+      return;
+    }
+    states.set(state.engine, state);
+    askers.forEach((asker) => host.send(asker, message));
+  }
+
+  /** Keeps what a VM of this data centre has told, to be passed on with this VM's own. */
+  function collect(tidings: Tidings): void {
+    if (!spread.isRelayed() || tidings.dataCentre !== undefined) {
+      return;
+    }
+    tidings.engines.forEach((use) => engines.set(use.engine, use));
+    tidings.states.forEach((state) => {
+      const known = states.get(state.engine);
+      if (!known || known.fence < state.fence || known.sequence < state.sequence) {
+        states.set(state.engine, state);
+      }
+    });
+  }
+
+  return { tell, tellState, collect };
+}
--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import chooseHome from '../../src/engines/chooseHome';
 import chooseOrder from '../../src/engines/chooseOrder';
+import getMaxLoading from '../../src/engines/getMaxLoading';
 import type Home from '../../src/engines/Home';
 import type Slot from '../../src/engines/Slot';
 import type Want from '../../src/engines/Want';
@@ -67,6 +68,7 @@
                 return { inFlight: of?.inFlight ?? 0, lastUsedAt: 10_000 - (of?.idleMs ?? 0) };
               },
               getVersion: () => 0,
+              maxLoading: 4,
             });
             if (choice.kind === 'unload') {
               const of = held[Number(choice.slot.key.slice(3))];
@@ -88,12 +90,20 @@
         places: 4,
         getUse: () => ({ inFlight, lastUsedAt: 0 }),
         getVersion: () => 2,
+        maxLoading: 4,
       });
       expect(chooseOrder(10_000, view(0)).kind).to.equal('load');
       expect(chooseOrder(10_000, view(1)).kind).to.equal('drop');
     });
 
-    it('has at most four loads on their way', () => {
+    it('starts loads no faster than the store carries them, but one on each engine', () => {
+      expect(getMaxLoading(6, 0)).to.equal(4);
+      expect(getMaxLoading(6, 6)).to.equal(2);
+      expect(getMaxLoading(6, 20)).to.equal(1);
+      expect(getMaxLoading(63, 20)).to.equal(4);
+    });
+
+    it('has at most as many loads on their way as it may', () => {
       const slots = ['a', 'b', 'c', 'd'].map((name) => slot(`m/${name}`, 'loading', 20_000));
       const choice = chooseOrder(10_000, {
         slots,
@@ -101,6 +111,7 @@
         places: 30,
         getUse: () => ({ inFlight: 0, lastUsedAt: 0 }),
         getVersion: () => 0,
+        maxLoading: 4,
       });
       expect(choice).to.deep.equal({ kind: 'wait', untilMs: 20_000 });
     });
@@ -201,7 +212,7 @@
 }
 
 function slot(key: string, state: Slot['state'], dueAt = 99_999): Slot {
-  return { key, version: 1, state, since: 0, dueAt, sentAtSequence: undefined };
+  return { key, version: 1, state, since: 0, dueAt, sentAtSequence: undefined, askers: [] };
 }
 
 function want(key: string, change: Partial<Want> = {}): Want {
--- a/test/routed/engine.test.ts
+++ b/test/routed/engine.test.ts
@@ -56,6 +56,34 @@
     expect(fake.lost).to.be.greaterThan(5);
   });
 
+  it('has an adapter there in time though its order was not answered', async () => {
+    const { time, engine, fake, state, inUse } = createTrial();
+    for (let index = 0; index < 8; index += 1) {
+      fake.loseNext = true;
+      inUse.clear();
+      want(engine, `a${index}`);
+
+      await time.advance(700);
+      expect(getResident(state())).to.include(`m/a${index}`);
+    }
+    await time.advance(LATE_MS * 2);
+    expect(fake.crashes).to.equal(0);
+  });
+
+  it('tells that an engine does not answer, and refuses at once what is wanted there', async () => {
+    const { time, engine, fake, state, refused } = createTrial();
+    want(engine, 'a1');
+    await time.advance(600);
+    fake.isSilent = true;
+    want(engine, 'a2');
+    await time.advance(600);
+    expect(state().isReachable).to.equal(false);
+    expect(refused).to.deep.equal(['m/a2 failed']);
+    fake.isSilent = false;
+    await time.advance(600);
+    expect(state().isReachable).to.equal(true);
+  });
+
   it('sends no order while it holds no valid ownership, and refuses what is wanted', async () => {
     const { time, engine, fake, refused, owner } = createTrial();
     owner.fence = undefined;
@@ -105,6 +133,8 @@
     crashes: 0,
     lost: 0,
     loseNext: false,
+    /** Answers nothing at all. */
+    isSilent: false,
     /** Reports show the past. */
     past: [] as { at: number; sequence: number; resident: string[]; coming: string[] }[],
   };
@@ -165,6 +195,9 @@
       ...time,
       order: async (order, by) => {
         fake.orders += 1;
+        if (fake.isSilent) {
+          return { ok: false, error: { kind: 'noAnswer', reason: 'silent' } };
+        }
         if (fake.loseNext) {
           fake.loseNext = false;
           fake.lost += 1;
@@ -176,6 +209,9 @@
         return carryOut(order, by.expectedSequence);
       },
       report: async () => {
+        if (fake.isSilent) {
+          return { ok: false, error: { kind: 'noAnswer', reason: 'silent' } };
+        }
         settle();
         const then =
           fake.past.filter(({ at }) => at <= time.now() - REPORT_LAG_MS).at(-1) ?? fake.past[0];
@@ -201,6 +237,7 @@
       getVersion: () => 1,
       getModels: () => [{ name: 'm', sizeMb: 1, loadMs: 300, adapterSizeMb: 1 }],
       getPlaces: () => PLACES,
+      getMaxLoading: () => 4,
       announce: (state) => {
         last = state;
       },
