Keep the place of an adapter whose unload waits for its runs

Cause: an unload that is accepted (not: held) is done only when the runs end; the owner took the place as free at once and could order one load too many. Ruled out: loads without an answer, which keep their places. Change: the slot stays, and the same order is sent again after 300 ms until it finds nothing left. Test: fails before.

--- a/src/engines/chooseOrder.ts
+++ b/src/engines/chooseOrder.ts
@@ -33,6 +33,11 @@
   if (due) {
     return { kind: 'confirm', slot: due };
   }
+  const unloading = view.slots.filter((slot) => slot.state === 'leaving');
+  const dueUnload = unloading.find((slot) => slot.dueAt <= now);
+  if (dueUnload) {
+    return { kind: 'unload', slot: dueUnload };
+  }
   const expired = view.wants.find((want) => want.expiresAt <= now);
   if (expired) {
     return { kind: 'drop', want: expired, reason: 'expired' };
@@ -53,7 +58,7 @@
     const victim = tryGetVictim(now, view);
     return victim ? { kind: 'unload', slot: victim } : { kind: 'drop', want: next, reason: 'full' };
   }
-  const nextDue = Math.min(...loading.map((slot) => slot.dueAt));
+  const nextDue = Math.min(...[...loading, ...unloading].map((slot) => slot.dueAt));
   return Number.isFinite(nextDue) ? { kind: 'wait', untilMs: nextDue } : { kind: 'none' };
 }
 
--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -26,6 +26,8 @@
 /** An engine that does not answer is asked again after this. */
 const UNREACHABLE_PAUSE_MS = 400;
 const CONFIRM_AGAIN_MS = 30;
+/** A stream takes some seconds; a request that began on an adapter just unloaded is rare. */
+const UNLOAD_AGAIN_MS = 300;
 /** Loading a model moves tens of gigabytes; it is not asked for again sooner. */
 const MODEL_LOAD_PAUSE_MS = 1000;
 
@@ -291,6 +293,11 @@
     announce();
     const outcome = await send('unload', { kind: 'unload', model, adapter, version: undefined });
     return settle(outcome, slot, () => {
+      if (outcome === 'accepted') {
+        // Runs of it go on: the place is free once the same order finds nothing left.
+        slot.dueAt = host.now() + UNLOAD_AGAIN_MS;
+        return;
+      }
       slots = slots.filter((other) => other !== slot);
       announce();
     });
--- a/test/routed/engine.test.ts
+++ b/test/routed/engine.test.ts
@@ -70,6 +70,22 @@
     expect(fake.crashes).to.equal(0);
   });
 
+  it('keeps the place of an adapter whose runs go on after its unload was accepted', async () => {
+    const { time, engine, fake, state } = createTrial();
+    ['a1', 'a2', 'a3'].forEach((name) => want(engine, name));
+    await time.advance(1500);
+    ['a1', 'a2', 'a3'].forEach((key) => fake.running.add(key));
+    want(engine, 'a4');
+    await time.advance(2000);
+    expect(fake.crashes).to.equal(0);
+    fake.running.clear();
+    await time.advance(1000);
+    want(engine, 'a4');
+    await time.advance(1000);
+    expect(getResident(state())).to.include('m/a4');
+    expect(fake.crashes).to.equal(0);
+  });
+
   it('tells that an engine does not answer, and refuses at once what is wanted there', async () => {
     const { time, engine, fake, state, refused } = createTrial();
     want(engine, 'a1');
@@ -133,6 +149,8 @@
     crashes: 0,
     lost: 0,
     loseNext: false,
+    /** Adapters with runs that the owner does not know of. */
+    running: new Set<string>(),
     /** Answers nothing at all. */
     isSilent: false,
     /** Reports show the past. */
@@ -174,6 +192,9 @@
       fake.models = ['m'];
     } else if (order.kind === 'unload') {
       fake.sequence += 1;
+      if (fake.running.has(key)) {
+        return { ok: true, value: 'accepted' };
+      }
       fake.resident.delete(key);
       settle();
       return { ok: true, value: 'held' };
