Choose an engine's heir from the registrations, not from heartbeats

Cause: on the grown site each VM made 20 to 29 claims that another one had won (412), about 2000 calls at the start, as each VM had heard of others at another moment (trial: calls to the store by kind, 81 VMs). Ruled out: readers and leases (1 listing, 4 watches and 1 keep a second each). Change: candidates are the registered VMs, the same for all; claims begin 2.5 s after the start, and after a refused one pause for 2 s. After: not measured yet.

--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -9,16 +9,18 @@
 const MEMBER_PREFIX = '/baobablink/members/';
 /** An order must have left the machine before the lease ends by the store's clock. */
 const LEASE_MARGIN_MS = 300;
-/** After a start the others need this long to be heard. */
-const SETTLE_MS = 1500;
+/** After a start the registrations of the others need this long to be seen. */
+const SETTLE_MS = 2500;
 const CLAIM_PAUSE_MS = 500;
+/** Another VM was first: its record is seen within this. */
+const REFUSED_PAUSE_MS = 2000;
 /** A clock step or a suspension: the lease is not relied on until it was renewed once more. */
 const CLOCK_JUMP_MS = 200;
 
 interface OwnershipsHost extends Time {
   keyValue: Pick<KeyValue, 'transact'>;
-  mirror: Pick<Mirror, 'tryGet'>;
-  members: Pick<Members, 'getServing' | 'hasLease' | 'isLeaving'>;
+  mirror: Pick<Mirror, 'tryGet' | 'getAll'>;
+  members: Pick<Members, 'hasLease' | 'isLeaving'>;
   /** Time of day; only its jumps against the steady clock are looked at. */
   getTimeOfDay(): number;
   onTaken(engine: string): void;
@@ -84,19 +86,23 @@
       return false;
     }
     const isHeld = record && host.mirror.tryGet(`${MEMBER_PREFIX}${record.holder}`);
-    return !isHeld && tryGetHeir(now, engine, holders) === options.address;
+    return !isHeld && tryGetHeir(engine, holders) === options.address;
   }
 
-  /** The VM that takes an engine without an owner: of those that own the fewest, one by rendezvous. */
+  /**
+   * The VM that takes an engine without an owner: of those that own the fewest, one by rendezvous.
+   * All VMs see the same registrations, so that one of them claims.
+   */
   function tryGetHeir(
-    now: number,
     engine: string,
     holders: readonly (string | undefined)[],
   ): string | undefined {
-    const serving = host.members.getServing(now);
+    const registered = host.mirror
+      .getAll(MEMBER_PREFIX)
+      .map(({ key }) => key.slice(MEMBER_PREFIX.length));
     const getCount = (vm: string) => holders.filter((holder) => holder === vm).length;
-    const fewest = Math.min(...serving.map(getCount));
-    const candidates = serving.filter((vm) => getCount(vm) === fewest);
+    const fewest = Math.min(...registered.map(getCount));
+    const candidates = registered.filter((vm) => getCount(vm) === fewest);
     return rankByRendezvous(engine, candidates)[0];
   }
 
@@ -115,6 +121,7 @@
     });
     const now = host.now();
     if (!answer.ok || !answer.value.succeeded) {
+      claimedAt.set(engine, now + (answer.ok ? REFUSED_PAUSE_MS - CLAIM_PAUSE_MS : 0));
       host.log('ownershipRefused', {
         engine,
         reason: answer.ok ? 'condition not met' : answer.error.kind,
--- a/test/routed/ownerships.test.ts
+++ b/test/routed/ownerships.test.ts
@@ -119,9 +119,9 @@
         keyValue: { transact },
         mirror: {
           tryGet: (key) => entries.get(key),
+          getAll: (prefix) => [...entries.values()].filter(({ key }) => key.startsWith(prefix)),
         },
         members: {
-          getServing: () => [...vms].filter(([, vm]) => vm.isAlive).map(([name]) => name),
           hasLease: (at) => at < machine.leaseUntil,
           isLeaving: () => false,
         },
