Give up engines whose ownership dates from an earlier registration

Cause: a VM whose lease had lapsed registered anew within milliseconds of its thaw, and then ordered with its old ownership until its copy of the store showed that another VM had taken the engine. Ruled out: orders sent before the freeze (answered orders went out in a row after it). Change: each registration has a number; an ownership counts only under the one it was recorded under.

--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -20,7 +20,7 @@
 interface OwnershipsHost extends Time {
   keyValue: Pick<KeyValue, 'transact'>;
   mirror: Pick<Mirror, 'tryGet' | 'getAll'>;
-  members: Pick<Members, 'hasLease' | 'isLeaving'>;
+  members: Pick<Members, 'hasLease' | 'getLeaseNumber' | 'isLeaving'>;
   /** Time of day; only its jumps against the steady clock are looked at. */
   getTimeOfDay(): number;
   onTaken(engine: string): void;
@@ -30,6 +30,8 @@
 
 interface Ownership {
   fence: number;
+  /** The registration under which it was recorded. */
+  leaseNumber: number;
   /** No order before this: the former owner's last ones may be under way. */
   orderFrom: number;
 }
@@ -55,7 +57,9 @@
     [...owned.keys()].forEach((engine) => {
       const record = tryGetRecord(engine);
       const isOurs = record === undefined || record.holder === options.address;
-      if (!isOurs || !engines.includes(engine)) {
+      if (owned.get(engine)!.leaseNumber !== host.members.getLeaseNumber()) {
+        lose(engine, 'registered anew');
+      } else if (!isOurs || !engines.includes(engine)) {
         lose(engine, isOurs ? 'engine gone' : 'taken by another');
       }
     });
@@ -111,6 +115,7 @@
     const key = `${OWNER_PREFIX}${engine}`;
     const { address, incarnation } = options;
     const isAnothers = record !== undefined && record.holder !== address;
+    const leaseNumber = host.members.getLeaseNumber();
     const answer = await host.keyValue.transact({
       compare: [
         { key, modRevision: record?.revision ?? 0 },
@@ -130,7 +135,7 @@
     }
     const fence = answer.value.revision;
     const orderFrom = isAnothers ? now + options.leaseMs + LEASE_MARGIN_MS : now;
-    owned.set(engine, { fence, orderFrom });
+    owned.set(engine, { fence, leaseNumber, orderFrom });
     host.log('engineTaken', {
       engine,
       fence,
@@ -158,7 +163,8 @@
   /** The fencing number for an order that is sent now; undefined while none may be sent. */
   function tryGetFence(now: number, engine: string): number | undefined {
     const ownership = owned.get(engine);
-    if (!ownership || now < ownership.orderFrom || hasClockJumped(now)) {
+    const isOld = ownership?.leaseNumber !== host.members.getLeaseNumber();
+    if (!ownership || isOld || now < ownership.orderFrom || hasClockJumped(now)) {
       return undefined;
     }
     return host.members.hasLease(now + LEASE_MARGIN_MS) ? ownership.fence : undefined;
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -62,6 +62,7 @@
   let state: 'live' | 'leaving' = 'live';
   let lease: string | undefined;
   let leaseValidUntil = -Infinity;
+  let leaseNumber = 0;
   let stops: (() => void)[] = [];
   let startedAt = Infinity;
   let beats = 0;
@@ -161,6 +162,7 @@
       otherwiseRead: [],
     });
     if (put.ok) {
+      leaseNumber += 1;
       lease = granted.value;
       leaseValidUntil = sentAt + options.leaseSeconds * 1000;
     }
@@ -358,6 +360,8 @@
     isListedLeaving,
     isLeaving: () => state === 'leaving',
     hasLease: (now: number) => now < leaseValidUntil,
+    /** Rises with every registration: what was held under an earlier one may be another VM's. */
+    getLeaseNumber: () => leaseNumber,
     getMembers: () => [...members.values()],
     getCount: () => members.size,
     getUpstreamStates: () =>
--- a/test/routed/ownerships.test.ts
+++ b/test/routed/ownerships.test.ts
@@ -54,6 +54,25 @@
     expect(trial.getFence(vm, 'e1')).to.equal(undefined);
   });
 
+  it('is not relied on by a VM that has registered anew, until it is recorded again', async () => {
+    const trial = createTrial(2);
+    await trial.run(4000);
+    const [vm] = trial.getOwners('e1');
+    const other = [...trial.vms.keys()].find((name) => name !== vm)!;
+    trial.setMirror(vm, 'held');
+    trial.loseLease(vm);
+    await trial.run(500);
+    expect(trial.getFence(vm, 'e1')).to.equal(undefined);
+    trial.renewLease(vm);
+    // The other VM has taken the engine meanwhile, which this VM does not see yet.
+    expect(trial.getFence(vm, 'e1')).to.equal(undefined);
+    await trial.run(500);
+    expect(trial.getFence(vm, 'e1')).to.equal(undefined);
+    trial.setMirror(vm, 'open');
+    await trial.run(LEASE_MS + 1000);
+    expect(trial.getOwners('e1')).to.deep.equal([other]);
+  });
+
   it('is spread over the VMs again when they are replaced in turn', async () => {
     const engines = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'];
     const trial = createTrial(8, engines);
@@ -87,6 +106,9 @@
 interface Machine {
   isAlive: boolean;
   leaseUntil: number;
+  leaseNumber: number;
+  /** What this VM sees of the store, while its copy is held back. */
+  seen: Map<string, { key: string; revision: number; value: string }> | undefined;
   suspendedMs: number;
   ownerships: ReturnType<typeof createOwnerships>;
 }
@@ -112,17 +134,25 @@
   };
 
   function start(address: string): void {
-    const machine = { isAlive: true, leaseUntil: Infinity, suspendedMs: 0 };
+    const machine: Omit<Machine, 'ownerships'> = {
+      isAlive: true,
+      leaseUntil: Infinity,
+      leaseNumber: 1,
+      seen: undefined,
+      suspendedMs: 0,
+    };
     const ownerships = createOwnerships(
       {
         ...time,
         keyValue: { transact },
         mirror: {
-          tryGet: (key) => entries.get(key),
-          getAll: (prefix) => [...entries.values()].filter(({ key }) => key.startsWith(prefix)),
+          tryGet: (key) => (machine.seen ?? entries).get(key),
+          getAll: (prefix) =>
+            [...(machine.seen ?? entries).values()].filter(({ key }) => key.startsWith(prefix)),
         },
         members: {
           hasLease: (at) => at < machine.leaseUntil,
+          getLeaseNumber: () => machine.leaseNumber,
           isLeaving: () => false,
         },
         getTimeOfDay: () => time.now() + machine.suspendedMs,
@@ -162,6 +192,17 @@
       vms.get(vm)!.isAlive = false;
       entries.delete(`/baobablink/members/${vm}`);
     },
+    setMirror: (vm: string, mode: 'open' | 'held') => {
+      vms.get(vm)!.seen = mode === 'held' ? new Map(entries) : undefined;
+    },
+    loseLease: (vm: string) => {
+      vms.get(vm)!.leaseUntil = -Infinity;
+      entries.delete(`/baobablink/members/${vm}`);
+    },
+    renewLease: (vm: string) => {
+      Object.assign(vms.get(vm)!, { leaseUntil: Infinity, leaseNumber: 2 });
+      put(`/baobablink/members/${vm}`, '{}');
+    },
     forget: (vm: string) => vms.delete(vm),
     restart: start,
   };
