--- /dev/null
+++ b/scripts/platform/createPlatformTrial.ts
@@ -0,0 +1,277 @@
+import { execFileSync, spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { request } from 'undici';
+import createRelay from '../../standins/createRelay';
+import type Layout from '../../standins/platform/Layout';
+import type Ledger from '../../standins/platform/Ledger';
+
+const CLUSTER_KEY = 'trial-cluster-key-0001';
+const MODEL = 'base';
+const SLOTS = 8;
+const PLACES = 4;
+const PLAIN_SERVERS = 2;
+const DATA_CENTRES = ['x', 'y', 'z'];
+const START_TIMEOUT_MS = 20_000;
+const POLL_MS = 100;
+const GRACE_S = 4;
+
+interface Exit {
+  code: number | null;
+  signal: NodeJS.Signals | null;
+}
+
+/**
+ * Lays out entry VMs as the platform starts them, beside the stand-in of the platform, all as
+ * separate processes on loopback addresses, with relays before the store and the servers.
+ */
+export default function createPlatformTrial(options: {
+  vms: number;
+  engines: number;
+  /** Second number of the loopback addresses, so that trials can stand side by side. */
+  network?: number;
+}) {
+  const network = options.network ?? 60;
+
+  const folder = mkdtempSync(path.join(tmpdir(), 'baobablink-trial-'));
+  const store = `127.${network}.1.1:2379`;
+  const control = `127.${network}.1.1:2380`;
+  const children = new Map<string, ChildProcess>();
+  const logs = new Map<string, string[]>();
+  const expected = new Set<string>();
+  const exits: { name: string; exit: Exit }[] = [];
+
+  const names = [
+    ...Array.from({ length: options.engines }, (_, index) => ({
+      id: `engine-${index + 1}`,
+      kind: 'model' as const,
+      service: 'models',
+    })),
+    ...Array.from({ length: PLAIN_SERVERS }, (_, index) => ({
+      id: `desk-${index + 1}`,
+      kind: 'plain' as const,
+      service: 'desk',
+    })),
+  ];
+  const servers = names.map((name, index) => ({
+    ...name,
+    dataCentre: DATA_CENTRES[index % DATA_CENTRES.length],
+    listen: `127.${network}.2.${index + 1}:9000`,
+    announced: `127.${network}.3.${index + 1}:9000`,
+  }));
+  const layout: Layout = { store, control, model: MODEL, slots: SLOTS, places: PLACES, servers };
+  const serverRelays = new Map(
+    servers.map((server) => [server.id, createRelay(server.announced, server.listen)]),
+  );
+  const vms = Array.from({ length: options.vms }, (_, index) => `vm${index + 1}`);
+  const storeRelays = new Map(
+    vms.map((name, index) => [name, createRelay(getStoreAddress(index), store)]),
+  );
+
+  function getStoreAddress(index: number): string {
+    return `127.${network}.4.${index + 1}:2379`;
+  }
+
+  function getAddress(name: string, port: number): string {
+    return `127.${network}.5.${vms.indexOf(name) + 1}:${port}`;
+  }
+
+  function spawnChild(name: string, words: string[], environment: Record<string, string> = {}) {
+    const child = spawn(process.execPath, words, {
+      env: { ...process.env, ...environment },
+      stdio: ['ignore', 'pipe', 'pipe'],
+      detached: true,
+    });
+    const lines = logs.get(name) ?? [];
+    logs.set(name, lines);
+    child.stdout.on('data', (chunk: Buffer) => lines.push(chunk.toString()));
+    child.stderr.on('data', (chunk: Buffer) => lines.push(chunk.toString()));
+    child.once('exit', (code, signal) => {
+      if (!expected.has(name)) {
+        exits.push({ name, exit: { code, signal } });
+      }
+    });
+    children.set(name, child);
+    expected.delete(name);
+  }
+
+  function startVm(name: string): void {
+    const index = vms.indexOf(name);
+    const file = path.join(folder, `${name}.toml`);
+
+    writeFileSync(file, getSettings(name, getStoreAddress(index)));
+    spawnChild(name, ['target/baobablink.cjs', 'serve-platform'], {
+      BAOBABLINK_SETTINGS_FILE: file,
+      BAOBABLINK_CLUSTER_KEY: CLUSTER_KEY,
+    });
+  }
+
+  function getSettings(name: string, storeAddress: string): string {
+    const [ip] = getAddress(name, 0).split(':');
+    return [
+      `Node = "${name}"`,
+      `Ip = "${ip}"`,
+      `Zone = "${DATA_CENTRES[vms.indexOf(name) % DATA_CENTRES.length]}"`,
+      'PortRange = [7380, 7395]',
+      '[Listen]',
+      `Front = "${getAddress(name, 8080)}"`,
+      `Ready = "${getAddress(name, 8081)}"`,
+      `Directory = "${getAddress(name, 8083)}"`,
+      '[Bounds]',
+      `GraceS = ${GRACE_S}`,
+      'LeaseMs = 3000',
+      'RetryRatio = 0.2',
+      'RetryWindowS = 10',
+      'RetrySlack = 56',
+      'ttl_max_s = 5',
+      '[Provider]',
+      `Addr = "${storeAddress}"`,
+      'TtlMinMs = 1000',
+    ].join('\n');
+  }
+
+  async function start(): Promise<void> {
+    execFileSync('bash', ['scripts/build-platform.sh'], { stdio: 'pipe' });
+    const file = path.join(folder, 'layout.json');
+
+    writeFileSync(file, JSON.stringify(layout));
+    spawnChild('platform', ['--import', 'tsx', 'standins/platform/main.ts', '--config', file]);
+    await waitFor(async () => (await tryCall('GET', `http://${control}/ledger`)) === 200);
+    await setManifest(1, 2000);
+    vms.forEach(startVm);
+    await Promise.all(vms.map(waitUntilReady));
+  }
+
+  function waitUntilReady(name: string): Promise<void> {
+    return waitFor(
+      async () => (await tryCall('GET', `http://${getAddress(name, 8081)}/api/readyz`)) === 200,
+    );
+  }
+
+  /** Announces a manifest with the routes of the trial, under a version and a time limit. */
+  async function setManifest(version: number, timeoutMs: number): Promise<void> {
+    const route = (
+      Name: string,
+      Type: 'idempotent' | 'non_idempotent' | 'streaming',
+      more: Record<string, unknown>,
+    ) => ({
+      Name,
+      Host: 'trial.example',
+      PathPrefix: `/${Name}/`,
+      Type,
+      TimeoutMs: timeoutMs,
+      SloMs: 500,
+      Attempts: 2,
+      Backend: Type === 'streaming' ? 'models' : 'desk',
+      ...more,
+    });
+    await post('manifest', {
+      Version: version,
+      Routes: [
+        route('chat', 'streaming', { GapSloMs: 250 }),
+        route('resume', 'streaming', { GapSloMs: 250, CanResume: true }),
+        route('hold', 'non_idempotent', {}),
+        route('look', 'idempotent', {}),
+      ],
+      Services: [
+        {
+          Name: 'models',
+          MaxConns: 400,
+          Engine: {
+            Slots: SLOTS,
+            WeightsMb: 1000,
+            LoraSlots: PLACES,
+            Models: [{ Name: MODEL, WeightsMb: 500, LoadS: 0.5, AdapterMb: 1 }],
+          },
+        },
+        { Name: 'desk', MaxConns: 400 },
+      ],
+      Limits: {
+        MaxHeaderBytes: 16_384,
+        MaxBodyBytes: 1_048_576,
+        HeaderTimeoutMs: 3000,
+        IdleTimeoutMs: 15_000,
+      },
+    });
+  }
+
+  async function post(name: string, body: unknown): Promise<void> {
+    const answer = await request(`http://${control}/${name}`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+    });
+    await answer.body.dump();
+  }
+
+  async function getLedger(): Promise<Ledger> {
+    const answer = await request(`http://${control}/ledger`);
+    return (await answer.body.json()) as Ledger;
+  }
+
+  /** Ends a process by a signal, and waits until it has ended. */
+  function end(name: string, signal: NodeJS.Signals): Promise<void> {
+    const child = children.get(name);
+    if (!child || child.exitCode !== null || child.signalCode !== null) {
+      return Promise.resolve();
+    }
+    expected.add(name);
+    return new Promise((resolve) => {
+      child.once('exit', () => resolve());
+      child.kill(signal);
+    });
+  }
+
+  async function stop(): Promise<void> {
+    children.forEach((child) => child.kill('SIGCONT'));
+    await Promise.all(vms.map((name) => end(name, 'SIGTERM')));
+    await end('platform', 'SIGTERM');
+    [...serverRelays.values(), ...storeRelays.values()].forEach((relay) => relay.close());
+
+    rmSync(folder, { recursive: true });
+  }
+
+  return {
+    start,
+    stop,
+    startVm,
+    end,
+    waitUntilReady,
+    setManifest,
+    post,
+    getLedger,
+    vms,
+    servers,
+    serverRelays,
+    storeRelays,
+    exits,
+    model: MODEL,
+    getAddress,
+    signal: (name: string, signal: NodeJS.Signals) => children.get(name)?.kill(signal),
+    getLog: (name: string) => (logs.get(name) ?? []).join(''),
+  };
+}
+
+async function tryCall(method: 'GET', url: string): Promise<number> {
+  try {
+    const answer = await request(url, { method, headersTimeout: 1000 });
+    await answer.body.dump();
+    return answer.statusCode;
+  } catch {
+    return 0;
+  }
+}
+
+async function waitFor(isMet: () => Promise<boolean>): Promise<void> {
+  const startedAt = Date.now();
+  while (!(await isMet())) {
+    if (Date.now() - startedAt > START_TIMEOUT_MS) {
+      throw new Error('the trial did not start in time');
+    }
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+  }
+}
--- /dev/null
+++ b/standins/platform/Items.ts
@@ -0,0 +1,6 @@
+import type createItems from './createItems';
+
+/** The state of the stand-in of the store. */
+type Items = ReturnType<typeof createItems>;
+
+export default Items;
--- /dev/null
+++ b/standins/platform/createPlainServer.ts
@@ -0,0 +1,59 @@
+import { once } from 'node:events';
+import http from 'node:http';
+import type Ledger from './Ledger';
+import type ServerFault from './ServerFault';
+import sign from './sign';
+
+const WORK_MS = 15;
+const SLOTS = 6;
+
+/** A plain server: does a request's work once, and says what it did with the caller's id. */
+export default function createPlainServer(
+  ledger: Ledger,
+  options: { id: string; getFault(): ServerFault },
+): http.Server {
+  let running = 0;
+  return http.createServer(async (request, response) => {
+    const id = String(request.headers['request-id'] ?? '');
+    request.resume();
+    await once(request, 'end');
+    const refuse = (status: number) => {
+      response.writeHead(status, { 'not-executed': '1', 'request-id': id });
+      response.end();
+    };
+    const expected = request.headers['expect-instance'];
+    if (expected !== undefined && expected !== options.id) {
+      refuse(421);
+      return;
+    }
+    if (running >= SLOTS * 2) {
+      refuse(503);
+      return;
+    }
+    running += 1;
+    const isOnce = request.method === 'POST';
+    (ledger.runs[id] ??= []).push({
+      at: Date.now(),
+      server: options.id,
+      model: '',
+      version: 0,
+      isOnce,
+    });
+    await new Promise((resolve) => {
+      setTimeout(resolve, WORK_MS);
+    });
+    running -= 1;
+    const fault = options.getFault();
+    if (fault === 'loseAnswers') {
+      request.socket.resetAndDestroy();
+      return;
+    }
+    if (fault === 'errors') {
+      response.writeHead(500, { 'request-id': id, 'response-signature': sign(id, options.id) });
+      response.end('failed');
+      return;
+    }
+    response.writeHead(200, { 'request-id': id, 'response-signature': sign(id, options.id) });
+    response.end(JSON.stringify({ id, server: options.id, path: request.url }));
+  });
+}
--- a/test/processes/processes.test.ts
+++ b/test/processes/processes.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai';
 import createTrial from '../../scripts/createTrial';
 import createLoad from './createLoad';
-import createRelay from './createRelay';
+import createRelay from '../../standins/createRelay';
 
 const VMS = 4;
 const ADAPTERS = 30;
