Refuse a request whose turn can't come in time, and order turns by their latest start

Ruled out: fewer requests admitted by slots (late pauses begin at other numbers on both sites). Change: the owner refuses at once what would wait longer than it may, by those that go before it; a queued one that does not come up is refused (503 with a time to come back, not sent).

--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -2,6 +2,7 @@
 import getAdapterKey from '../engines/getAdapterKey';
 import type Home from '../engines/Home';
 import type Loads from '../engines/Loads';
+import getRetryMs from '../gateway/getRetryMs';
 import type Job from '../gateway/Job';
 import type Place from '../gateway/Place';
 import type Refusal from '../gateway/Refusal';
@@ -27,9 +28,6 @@
 const COPY_PAUSE_MS = 200;
 /** Copies are loaded after what requests wait for. */
 const COPY_URGENCY = 5;
-const REFUSED_RETRY_MS = 400;
-/** Answers of refused requests are spread over this time. */
-const RETRY_SPREAD_MS = 600;
 
 interface PlacementHost extends Time {
   getManifest(): Manifest | undefined;
@@ -220,8 +218,7 @@
   }
 
   function refuse(kind: 'noUpstream' | 'busy' | 'noAdapter'): Outcome<never, Refusal> {
-    const retryAfterMs = Math.round(REFUSED_RETRY_MS + host.random() * RETRY_SPREAD_MS);
-    return { ok: false, error: { kind, retryAfterMs } };
+    return { ok: false, error: { kind, retryAfterMs: getRetryMs(host.random()) } };
   }
 
   return { place, getHomes };
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -23,6 +23,7 @@
 import type Upstream from '../upstream/Upstream';
 import createTurnKeeper from '../turns/createTurnKeeper';
 import createTurnTaker from '../turns/createTurnTaker';
+import type TurnState from '../turns/TurnState';
 import createSpread from '../spread/createSpread';
 import createUsage from '../usage/createUsage';
 import createUsageTeller from '../usage/createUsageTeller';
@@ -361,16 +362,14 @@
         engine.want({ model, adapter, version: needed, urgency, expiresAt: now + waitMs }, from);
       })
       .with({ kind: 'turnWanted' }, ({ engine, waitMs, kind: _, ...asked }) => {
-        let isGranted = false;
-        turns.ask(now, engine, asked, waitMs, () => {
-          isGranted = true;
-          sendOrDeliver(from, { kind: 'turn', id: asked.id, isGranted });
-        });
-        if (!isGranted) {
-          sendOrDeliver(from, { kind: 'turn', id: asked.id, isGranted });
+        const answer = (state: TurnState) =>
+          sendOrDeliver(from, { kind: 'turn', id: asked.id, state });
+        const state = turns.ask(now, engine, asked, waitMs, () => answer('granted'));
+        if (state !== 'granted') {
+          answer(state);
         }
       })
-      .with({ kind: 'turn' }, ({ id, isGranted }) => turnTaker.receive(id, isGranted))
+      .with({ kind: 'turn' }, ({ id, state }) => turnTaker.receive(id, state))
       .with({ kind: 'turnOver' }, ({ engine, id }) => turns.finish(now, engine, id))
       .with({ kind: 'loadRefused' }, ({ engine, key }) => loads.refuse(engine, key))
       .with({ kind: 'engineDoubted' }, ({ engine }) => engines.tryGet(engine)?.doubt())
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -25,8 +25,10 @@
 const MAX_URGENCY = 9;
 /** Time to the first event beside the reading of the prompt. */
 const ON_TIME_MARGIN_MS = 80;
-/** Callers leave a stream that is silent for 2 s; a request does not wait for its turn as long. */
-const MAX_TURN_MS = 1500;
+/** A request that is late by this little is still worth its wait, if nothing on time needs the turn. */
+const LATE_MS = 150;
+/** Wait of a request that is late on its arrival here, since its adapter had to be loaded. */
+const MIN_TURN_MS = 300;
 /** For routes that state no objective on pauses. */
 const DEFAULT_PAUSE_MS = 300;
 
@@ -72,11 +74,16 @@
         ? Math.max(MIN_SILENCE_MS, SILENCE_FACTOR * job.route.latencyObjectiveMs)
         : Infinity;
     if (isEngine) {
-      await takeTurn(job, upstream.id);
+      const turn = await takeTurn(job, upstream.id);
       if (job.isCallerGone) {
         finish(host.now());
         return { kind: 'callerLeft' };
       }
+      if (turn === 'refused') {
+        finish(host.now());
+        host.endTurn(upstream.id, job.call.id);
+        return { kind: 'notSent', reason: 'noTurn' };
+      }
       // The engine may have begun to leave while the request waited for its turn.
       if (parts.upstreams.tryGet(upstream.id)?.state !== 'ready') {
         finish(host.now());
@@ -131,7 +138,9 @@
       outcome.kind === 'broken' ||
       outcome.kind === 'silent' ||
       (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream' && !isEngine) ||
-      (outcome.kind === 'notSent' && outcome.reason !== 'noConnection');
+      (outcome.kind === 'notSent' &&
+        outcome.reason !== 'noConnection' &&
+        outcome.reason !== 'noTurn');
     if (isFailure && parts.health.noteFailure(now, upstream.id)) {
       host.log('upstreamSuspended', { upstream: upstream.id, cause: outcome.kind });
     }
@@ -142,19 +151,17 @@
   };
 
   /** Waits until the engine has room to read the prompt, while that is in time. */
-  async function takeTurn(job: Job, engine: string): Promise<void> {
+  async function takeTurn(job: Job, engine: string): Promise<'granted' | 'refused' | 'unknown'> {
     const now = host.now();
     const { latencyObjectiveMs, urgency, pauseObjectiveMs: pauseMs = DEFAULT_PAUSE_MS } = job.route;
     const { id, promptTokens: tokens } = job.call;
     const spentMs = now - job.arrivedAt;
     const onTimeMs = latencyObjectiveMs - getReadMs(tokens) - ON_TIME_MARGIN_MS - spentMs;
-    const waitMs = Math.min(MAX_TURN_MS, job.deadlineAt - now) - spentMs;
-    if (waitMs <= 0) {
-      return;
-    }
+    const waitMs = Math.min(Math.max(MIN_TURN_MS, onTimeMs + LATE_MS), job.deadlineAt - now);
     Object.assign(job, { leave: () => parts.turnTaker.leave(job.call.id) });
     const asked = { id, tokens, urgency, onTimeMs: Math.round(onTimeMs), pauseMs };
-    await parts.turnTaker.take(engine, asked, Math.round(waitMs));
+    const turn = await parts.turnTaker.take(engine, asked, Math.round(waitMs));
     Object.assign(job, { turnMs: job.turnMs + host.now() - now });
+    return turn;
   }
 }
--- a/src/gateway/serveCall.ts
+++ b/src/gateway/serveCall.ts
@@ -2,6 +2,7 @@
 import type Log from '../events/Log';
 import type Outcome from '../shared/Outcome';
 import type AttemptOutcome from './AttemptOutcome';
+import getRetryMs from './getRetryMs';
 import type Job from './Job';
 import type Place from './Place';
 import type Refusal from './Refusal';
@@ -22,6 +23,8 @@
   attempt(job: Job, place: Place, isLast: boolean): Promise<AttemptOutcome>;
   /** Takes one repeat from the shared budget. */
   tryRepeat(now: number, service: string): boolean;
+  /** A number from 0 to 1. */
+  random(): number;
   countRetry(reason: string): void;
   log: Log;
 }
@@ -75,6 +78,11 @@
     return match<AttemptOutcome, End | 'again'>(outcome)
       .with({ kind: 'done' }, ({ status }) => ({ kind: 'answered', status }))
       .with({ kind: 'callerLeft' }, () => ({ kind: 'callerLeft' }))
+      .with({ kind: 'notSent', reason: 'noTurn' }, () =>
+        sent > notRun
+          ? giveUp('busy')
+          : refuse({ kind: 'busy', retryAfterMs: getRetryMs(host.random()) }),
+      )
       .with({ kind: 'notSent' }, ({ reason }) => {
         unsent += 1;
         if (reason !== 'noConnection') {
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -186,7 +186,11 @@
     pauseMs: z.number(),
     waitMs: z.number(),
   }),
-  z.object({ kind: z.literal('turn'), id: z.string(), isGranted: z.boolean() }),
+  z.object({
+    kind: z.literal('turn'),
+    id: z.string(),
+    state: z.enum(['granted', 'queued', 'refused']),
+  }),
   z.object({ kind: z.literal('turnOver'), engine: z.string(), id: z.string() }),
   /** The requests in progress of the sender, or of a whole data centre, and news of engines. */
   z.object({
--- a/src/turns/createTurnKeeper.ts
+++ b/src/turns/createTurnKeeper.ts
@@ -1,5 +1,6 @@
 import createTurns from './createTurns';
 import type TurnAsk from './TurnAsk';
+import type TurnState from './TurnState';
 
 /** Gives the turns of the engines that this VM owns, and knows how much waits at all engines. */
 export default function createTurnKeeper(
@@ -14,10 +15,10 @@
     asked: TurnAsk,
     waitMs: number,
     onGranted: () => void,
-  ): void {
+  ): TurnState {
     const known = turns.get(engine) ?? createTurns(schedule);
     turns.set(engine, known);
-    known.ask(now, asked, waitMs, onGranted);
+    return known.ask(now, asked, waitMs, onGranted);
   }
 
   /** Reading time that waits at some engines, for the other VMs. */
--- a/src/turns/createTurnTaker.ts
+++ b/src/turns/createTurnTaker.ts
@@ -1,5 +1,6 @@
 import type Time from '../shared/Time';
 import type TurnAsk from './TurnAsk';
+import type TurnState from './TurnState';
 
 /** Two round trips between data centres; without an answer the owner is gone or cut off. */
 const ANSWER_TIMEOUT_MS = 60;
@@ -9,31 +10,34 @@
   ask(engine: string, asked: TurnAsk, waitMs: number): boolean;
 }
 
+/** Whether a request may be sent: `unknown` where the owner did not answer. */
+type Answer = 'granted' | 'refused' | 'unknown';
+
 interface Pending {
   isQueued: boolean;
-  end: (isGranted: boolean) => void;
+  end: (answer: Answer) => void;
 }
 
 /**
- * Takes turns at engines for this VM's requests. A turn only spreads load: a request whose turn
- * does not come in time goes without.
+ * Takes turns at engines for this VM's requests. A turn only spreads load: without a word of the
+ * owner a request goes without. One whose turn does not come in time is not to be sent.
  */
 export default function createTurnTaker(host: TurnTakerHost) {
   const pendings = new Map<string, Pending>();
 
-  /** Waits for a turn, at most `waitMs`; answers whether it came. */
-  function take(engine: string, asked: TurnAsk, waitMs: number): Promise<boolean> {
+  /** Waits for a turn, at most `waitMs`. */
+  function take(engine: string, asked: TurnAsk, waitMs: number): Promise<Answer> {
     return new Promise((resolve) => {
       let cancelTimer = () => {};
-      const end = (isGranted: boolean) => {
+      const end = (answer: Answer) => {
         cancelTimer();
         pendings.delete(asked.id);
-        resolve(isGranted);
+        resolve(answer);
       };
       const pending: Pending = { isQueued: false, end };
       pendings.set(asked.id, pending);
       if (!host.ask(engine, asked, waitMs)) {
-        end(false);
+        end('unknown');
         return;
       }
       if (pendings.get(asked.id) !== pending) {
@@ -41,31 +45,31 @@
       }
       const onQuiet = () => {
         if (pending.isQueued && waitMs > ANSWER_TIMEOUT_MS) {
-          cancelTimer = host.setTimer(waitMs - ANSWER_TIMEOUT_MS, () => end(false));
+          cancelTimer = host.setTimer(waitMs - ANSWER_TIMEOUT_MS, () => end('refused'));
         } else {
-          end(false);
+          end(pending.isQueued ? 'refused' : 'unknown');
         }
       };
       cancelTimer = host.setTimer(Math.min(waitMs, ANSWER_TIMEOUT_MS), onQuiet);
     });
   }
 
-  /** Takes the owner's word on a request: granted, or in line. */
-  function receive(id: string, isGranted: boolean): void {
+  /** Takes the owner's word on a request. */
+  function receive(id: string, state: TurnState): void {
     const pending = pendings.get(id);
     if (!pending) {
       return;
     }
-    if (isGranted) {
-      pending.end(true);
-    } else {
+    if (state === 'queued') {
       pending.isQueued = true;
+    } else {
+      pending.end(state);
     }
   }
 
   /** Gives up the wait of a request whose caller has left. */
   function leave(id: string): void {
-    pendings.get(id)?.end(false);
+    pendings.get(id)?.end('unknown');
   }
 
   return { take, receive, leave };
--- a/src/turns/createTurns.ts
+++ b/src/turns/createTurns.ts
@@ -1,5 +1,6 @@
 import getReadMs from './getReadMs';
 import type TurnAsk from './TurnAsk';
+import type TurnState from './TurnState';
 
 /** Time of the five steps that make one event of a stream. */
 const EVENT_MS = 40;
@@ -9,6 +10,8 @@
 const BURST_MS = 35;
 /** Reading time that may wait at the engine itself: a slow one gets no more turns. */
 const MAX_UNREAD_MS = 75;
+/** Head start of a request over one of the next lower urgency: a sixth of a usual objective. */
+const URGENCY_MS = 100;
 /** For turns whose end is never told. */
 const LOOK_AGAIN_MS = 200;
 /** A turn whose end was not told, since its VM has died, is over after this. */
@@ -32,11 +35,29 @@
   let creditAt = -Infinity;
   let lookAt = Infinity;
 
-  /** Asks for a turn; `onGranted` is called at once or when it comes. */
-  function ask(now: number, asked: TurnAsk, waitMs: number, onGranted: () => void): void {
+  /**
+   * Asks for a turn; `onGranted` is called at once or when it comes. Refused is what can't have its
+   * turn within `waitMs`, since those that wait before it take longer.
+   */
+  function ask(now: number, asked: TurnAsk, waitMs: number, onGranted: () => void): TurnState {
     share = Math.min(share, getShare(asked.pauseMs));
-    waiting.push({ ...asked, since: now, expiresAt: now + waitMs, onGranted });
+    const next = { ...asked, since: now, expiresAt: now + waitMs, onGranted };
+    removeOld(now);
+    if (getWaitMs(now, next) > waitMs) {
+      return 'refused';
+    }
+    waiting.push(next);
     grant(now);
+    return running.has(asked.id) ? 'granted' : 'queued';
+  }
+
+  /** Time until those that go before a request have been read. */
+  function getWaitMs(now: number, next: Waiting): number {
+    const before = waiting
+      .filter((other) => compare(now, other, next) <= 0)
+      .reduce((sum, other) => sum + getReadMs(other.tokens), 0);
+    const current = Math.min(BURST_MS, credit + (now - creditAt) * share);
+    return Math.max(0, before + Math.max(0, getUnreadMs() - MAX_UNREAD_MS) - current) / share;
   }
 
   /** The prompt has been read, or the request has ended before. */
@@ -47,18 +68,8 @@
   }
 
   function grant(now: number): void {
-    running.forEach((turn, id) => {
-      if (now - turn.since > LOST_MS) {
-        running.delete(id);
-      }
-    });
-    waiting = waiting.filter((other) => other.expiresAt > now);
-    waiting.sort(
-      (left, right) =>
-        Number(isLate(now, left)) - Number(isLate(now, right)) ||
-        left.urgency - right.urgency ||
-        left.since - right.since,
-    );
+    removeOld(now);
+    waiting.sort((left, right) => compare(now, left, right));
     credit = Math.min(BURST_MS, credit + (now - creditAt) * share);
     creditAt = now;
     while (waiting.length > 0 && credit > 0 && hasRoom(waiting[0])) {
@@ -72,6 +83,15 @@
     }
   }
 
+  function removeOld(now: number): void {
+    running.forEach((turn, id) => {
+      if (now - turn.since > LOST_MS) {
+        running.delete(id);
+      }
+    });
+    waiting = waiting.filter((other) => other.expiresAt > now);
+  }
+
   /** Looks again after a delay, unless that is to be done sooner anyway. */
   function lookAgain(now: number, delayMs: number): void {
     const at = now + delayMs;
@@ -101,6 +121,22 @@
   return { ask, finish, getBacklogMs };
 }
 
+/**
+ * Orders those that wait: the ones that can be on time first, by the moment at which they must
+ * begin; urgent ones as if they had to begin sooner. Large prompts keep their chance that way.
+ */
+function compare(now: number, left: Waiting, right: Waiting): number {
+  return (
+    Number(isLate(now, left)) - Number(isLate(now, right)) ||
+    getBeginBy(left) - getBeginBy(right) ||
+    left.since - right.since
+  );
+}
+
+function getBeginBy({ since, onTimeMs, urgency }: Waiting): number {
+  return since + onTimeMs + urgency * URGENCY_MS;
+}
+
 /** Whether a request is late in any case: it yields to those that can be on time. */
 function isLate(now: number, waiting: Waiting): boolean {
   return now > waiting.since + waiting.onTimeMs;
--- a/test/routed/serve.test.ts
+++ b/test/routed/serve.test.ts
@@ -234,6 +234,7 @@
     const ended = serveCall(
       {
         now: time.now,
+        random: () => 0,
         place: async () => ({ ok: true, value: createPlace(`u${tried}`) }),
         attempt: () =>
           sendAttempt(
--- a/test/routed/turns.test.ts
+++ b/test/routed/turns.test.ts
@@ -11,6 +11,7 @@
 const EVENTS = 58;
 const PAUSE_MS = 250;
 const OBJECTIVE_MS = 600;
+const SENT_ANYWAY_MS = 1500;
 
 interface Prompt {
   at: number;
@@ -33,6 +34,32 @@
     expect(withTurns.onTime).to.be.greaterThan(without.onTime + 0.1);
   });
 
+  it('serve more callers on time at half more than an engine can read', () => {
+    const prompts = getClumps(40, 20_000);
+    const sentAnyway = play(prompts, true, 'send');
+    const refused = play(prompts, true, 'refuse');
+    expect(refused.onTime).to.be.greaterThan(sentAnyway.onTime + 0.1);
+  });
+
+  it('refuse at once what can be on time no more', () => {
+    const turns = createTurns(() => {});
+    const ask = (id: string) =>
+      turns.ask(
+        0,
+        { id, tokens: 3000, urgency: 0, onTimeMs: 300, pauseMs: PAUSE_MS },
+        300,
+        () => {},
+      );
+    expect(['a', 'b', 'c', 'd', 'e', 'f'].map(ask)).to.deep.equal([
+      'granted',
+      'queued',
+      'queued',
+      'refused',
+      'refused',
+      'refused',
+    ]);
+  });
+
   it('let urgent prompts go before others', () => {
     const turns = createTurns(() => {});
     const order: string[] = [];
@@ -100,7 +127,11 @@
 }
 
 /** Plays an engine step by step: it reads what waits at it, then makes a token of each stream. */
-function play(prompts: Prompt[], isTaking: boolean): Result {
+function play(
+  prompts: Prompt[],
+  isTaking: boolean,
+  atLast: 'wait' | 'send' | 'refuse' = 'wait',
+): Result {
   const clock = { now: 0 };
   const timers: { at: number; callback: () => void }[] = [];
   const turns = createTurns((delayMs, callback) =>
@@ -110,14 +141,32 @@
   const coming = prompts.map((prompt, index) => ({ prompt, id: String(index) }));
   const readAt = new Map<string, number>();
   const stepEnds: number[] = [];
-  while (readAt.size < prompts.length && clock.now < 120_000) {
+  const refused = new Set<string>();
+  while (readAt.size + refused.size < prompts.length && clock.now < 120_000) {
     while (coming.length > 0 && coming[0].prompt.at <= clock.now) {
       const { prompt, id } = coming.shift()!;
       const send = () => unread.push({ id, left: prompt.tokens, prompt });
       if (isTaking) {
         const { tokens, urgency } = prompt;
         const onTimeMs = OBJECTIVE_MS - getReadMs(tokens);
-        turns.ask(clock.now, { id, tokens, urgency, onTimeMs, pauseMs: PAUSE_MS }, 60_000, send);
+        const asked = { id, tokens, urgency, onTimeMs, pauseMs: PAUSE_MS };
+        const waitMs = atLast === 'refuse' ? onTimeMs : 60_000;
+        const sent = new Set<string>();
+        const sendOnce = () => {
+          if (!sent.has(id)) {
+            sent.add(id);
+            send();
+          }
+        };
+        const state = turns.ask(clock.now, asked, waitMs, sendOnce);
+        if (state === 'refused') {
+          refused.add(id);
+        } else if (atLast === 'send') {
+          timers.push({ at: clock.now + SENT_ANYWAY_MS, callback: sendOnce });
+        } else if (atLast === 'refuse') {
+          const callback = () => !sent.has(id) && refused.add(id);
+          timers.push({ at: clock.now + waitMs, callback });
+        }
       } else {
         send();
       }
