Order on while no VM can have seen the registration end; wait after a claim without an answer

Ruled out: a longer lease, which makes every take-over slower. Change: it goes on while each VM that may live is heard and none has had word of the store since the lease was to end; a VM that takes over waits longer than heartbeats are apart. Cause: a claim that was carried out but not answered was taken, at the next look, for an old record of one's own, and orders began at once. Change: such a record is waited for as another's. Found by reading; test fails before.

--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -20,7 +20,7 @@
 interface OwnershipsHost extends Time {
   keyValue: Pick<KeyValue, 'transact'>;
   mirror: Pick<Mirror, 'tryGet' | 'getAll'>;
-  members: Pick<Members, 'hasLease' | 'getLeaseNumber' | 'isLeaving'>;
+  members: Pick<Members, 'hasLease' | 'getLeaseNumber' | 'isEndUnseen' | 'isLeaving'>;
   /** Time of day; only its jumps against the steady clock are looked at. */
   getTimeOfDay(): number;
   onTaken(engine: string): void;
@@ -47,6 +47,8 @@
 ) {
   const owned = new Map<string, Ownership>();
   const claimedAt = new Map<string, number>();
+  /** Records that this VM knows to have written, and when orders may begin under them. */
+  const written = new Map<string, { revision: number; orderFrom: number }>();
   const startedAt = host.now();
   let clockOffset = host.getTimeOfDay() - startedAt;
   let distrustUntil = -Infinity;
@@ -115,6 +117,11 @@
     const key = `${OWNER_PREFIX}${engine}`;
     const { address, incarnation } = options;
     const isAnothers = record !== undefined && record.holder !== address;
+    // A record of this VM's own from a claim without an answer: another owner may just have ended.
+    const isUnanswered =
+      record?.holder === address &&
+      record.incarnation === incarnation &&
+      record.revision !== written.get(engine)?.revision;
     const leaseNumber = host.members.getLeaseNumber();
     const answer = await host.keyValue.transact({
       compare: [
@@ -134,7 +141,11 @@
       return;
     }
     const fence = answer.value.revision;
-    const orderFrom = isAnothers ? now + options.leaseMs + LEASE_MARGIN_MS : now;
+    const orderFrom =
+      isAnothers || isUnanswered
+        ? now + options.leaseMs + LEASE_MARGIN_MS
+        : Math.max(now, written.get(engine)?.orderFrom ?? now);
+    written.set(engine, { revision: fence, orderFrom });
     owned.set(engine, { fence, leaseNumber, orderFrom });
     host.log('engineTaken', {
       engine,
@@ -167,7 +178,8 @@
     if (!ownership || isOld || now < ownership.orderFrom || hasClockJumped(now)) {
       return undefined;
     }
-    return host.members.hasLease(now + LEASE_MARGIN_MS) ? ownership.fence : undefined;
+    const isHeld = host.members.hasLease(now + LEASE_MARGIN_MS) || host.members.isEndUnseen(now);
+    return isHeld ? ownership.fence : undefined;
   }
 
   /** The steady clock does not count a suspension; the time of day does. */
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -293,6 +293,23 @@
     return registryReadAt > heardAt + getDeadAfterMs() && !registered.has(address);
   }
 
+  /**
+   * Whether no VM can have acted on the end of this VM's registration: each one that may live is
+   * heard, and none has had word of the key-value service since the lease was to end. A VM that
+   * takes something over waits for longer than its heartbeats are apart.
+   */
+  function isEndUnseen(now: number): boolean {
+    const others = new Set([...members.keys(), ...registered.keys()]);
+    others.delete(options.address);
+    return [...others]
+      .filter((address) => !isGone(now, address))
+      .every((address) => {
+        const member = members.get(address);
+        const confirmedAt = member && member.heardAt - (member.confirmedAgeMs ?? Infinity);
+        return isHeard(now, address) && confirmedAt! < leaseValidUntil;
+      });
+  }
+
   /** The VMs that may hold grants: all that were ever known and are not known to be gone. */
   function getPossibleHolders(now: number): string[] {
     const possible = new Set([...members.keys(), ...registered.keys()]);
@@ -353,6 +370,7 @@
     isAlive,
     tryGetRelay,
     isGone,
+    isEndUnseen,
     getServing,
     getPossibleHolders,
     hasMajority,
--- a/test/routed/ownerships.test.ts
+++ b/test/routed/ownerships.test.ts
@@ -73,6 +73,18 @@
     expect(trial.getOwners('e1')).to.deep.equal([other]);
   });
 
+  it('waits after a claim whose answer was lost as after one that was answered', async () => {
+    const trial = createTrial(2);
+    await trial.run(4000);
+    const [dead] = trial.getOwners('e1');
+    trial.kill(dead);
+    trial.loseAnswersFor(1500);
+    await trial.run(2500);
+    expect(trial.getOwners('e1')).to.deep.equal([]);
+    await trial.run(LEASE_MS + 1500);
+    expect(trial.getOwners('e1')).to.have.length(1);
+  });
+
   it('is spread over the VMs again when they are replaced in turn', async () => {
     const engines = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6'];
     const trial = createTrial(8, engines);
@@ -119,6 +131,7 @@
   const entries = new Map<string, { key: string; revision: number; value: string }>();
   const vms = new Map<string, Machine>();
   let revision = 10;
+  let loseUntil = -Infinity;
 
   const put = (key: string, value: string) => {
     revision += 1;
@@ -130,6 +143,9 @@
     if (isMet) {
       writes.forEach((write) => write.kind === 'put' && put(write.key, write.value));
     }
+    if (time.now() < loseUntil) {
+      return { ok: false as const, error: { kind: 'unknown' as const, reason: 'lost' } };
+    }
     return { ok: true as const, value: { succeeded: isMet, revision, read: [] } };
   };
 
@@ -153,6 +169,7 @@
         members: {
           hasLease: (at) => at < machine.leaseUntil,
           getLeaseNumber: () => machine.leaseNumber,
+          isEndUnseen: () => false,
           isLeaving: () => false,
         },
         getTimeOfDay: () => time.now() + machine.suspendedMs,
@@ -192,6 +209,9 @@
       vms.get(vm)!.isAlive = false;
       entries.delete(`/baobablink/members/${vm}`);
     },
+    loseAnswersFor: (forMs: number) => {
+      loseUntil = time.now() + forMs;
+    },
     setMirror: (vm: string, mode: 'open' | 'held') => {
       vms.get(vm)!.seen = mode === 'held' ? new Map(entries) : undefined;
     },
