Copy a much used adapter where prompts wait; log what decided a refusal

Not measured yet. Refusals for want of room now say how many engines were ready, held the adapter or could load it, and their requests, slots, loads and waits. Tests: decisions.test.ts.

--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -1,6 +1,7 @@
 import type EngineViews from '../engines/EngineViews';
 import getAdapterKey from '../engines/getAdapterKey';
 import type Home from '../engines/Home';
+import isCopyWanted from '../engines/isCopyWanted';
 import type Loads from '../engines/Loads';
 import getRetryMs from '../gateway/getRetryMs';
 import type Job from '../gateway/Job';
@@ -18,12 +19,6 @@
 
 /** Beyond its slots an engine queues; a queue of this share is served within its objective. */
 const MAX_ENGINE_FILL = 1.1;
-/** An adapter earns a copy where its engine has this many times the mean of requests in progress. */
-const COPY_LOAD = 1.3;
-/** Differences of a few requests are chance. */
-const LOAD_SLACK = 4;
-/** A copy pays when at least so many requests share it. */
-const MIN_COPY_USE = 3;
 /** Copies that this VM asks for, at most one in this time. */
 const COPY_PAUSE_MS = 200;
 /** Copies are loaded after what requests wait for. */
@@ -67,13 +62,13 @@
       }
       isLoaded = adapter !== undefined && (await waitForLoad(job, { model, adapter, key }));
       if (job.isCallerGone) {
-        return refuse('noAdapter');
+        return refuse(job, 'noAdapter');
       }
     }
     // The owner alone may be cut off from an engine with which this VM had no trouble.
     const isLost = (id: string) => views.isUnreachable(id) && health.isSuspended(host.now(), id);
     const last = placeWhereResident(job, key, avoid, isLost);
-    return last ?? refuse(adapter === undefined ? 'noUpstream' : 'noAdapter');
+    return last ?? refuse(job, adapter === undefined ? 'noUpstream' : 'noAdapter');
   }
 
   function placeAnywhere(job: Job, avoid: ReadonlySet<string>): Outcome<Place, Refusal> {
@@ -83,7 +78,7 @@
     const upstream = chosen && upstreams.tryGet(chosen.id);
     return upstream
       ? { ok: true, value: { upstream, version: undefined, inFlight: chosen.inFlight } }
-      : refuse('noUpstream');
+      : refuse(job, 'noUpstream');
   }
 
   function placeWhereResident(
@@ -106,7 +101,7 @@
       copyWhereLoaded(now, chosen, ready, { model: model!, adapter, key, version });
     }
     if (chosen.inFlight >= chosen.slots * MAX_ENGINE_FILL) {
-      return refuse('busy');
+      return refuse(job, 'busy', holders.length);
     }
     const stated = version > 0 ? version : undefined;
     return { ok: true, value: { upstream, version: stated, inFlight: chosen.inFlight } };
@@ -121,9 +116,8 @@
   ): void {
     const total = ready.reduce((sum, { id }) => sum + usage.getInFlight(now, id), 0);
     const mean = total / ready.length;
-    const isLoaded = chosen.inFlight > mean * COPY_LOAD + LOAD_SLACK;
-    const isMuchUsed = usage.getUse(now, chosen.id, ask.key).inFlight >= MIN_COPY_USE;
-    if (isLoaded && isMuchUsed && now - copiedAt > COPY_PAUSE_MS) {
+    const use = usage.getUse(now, chosen.id, ask.key).inFlight;
+    if (now - copiedAt > COPY_PAUSE_MS && isCopyWanted(chosen, mean, use)) {
       copiedAt = now;
       parts.getLoads().want({ ...ask, urgency: COPY_URGENCY }, () => {});
     }
@@ -217,8 +211,29 @@
       });
   }
 
-  function refuse(kind: 'noUpstream' | 'busy' | 'noAdapter'): Outcome<never, Refusal> {
-    return { ok: false, error: { kind, retryAfterMs: getRetryMs(host.random()) } };
+  function refuse(
+    job: Job,
+    kind: 'noUpstream' | 'busy' | 'noAdapter',
+    holders = 0,
+  ): Outcome<never, Refusal> {
+    const now = host.now();
+    const { model, adapter } = job.call;
+    const ready = upstreams.getReady(job.service);
+    const key = getAdapterKey(model ?? '', adapter);
+    const homes =
+      kind === 'noAdapter'
+        ? getHomes(now, { key, model: model ?? '', version: host.getVersion(key) })
+        : [];
+    const seen = {
+      ready: ready.length,
+      holders,
+      homes: homes.length,
+      pending: homes.reduce((sum, home) => sum + home.pending, 0),
+      inFlight: ready.reduce((sum, { id }) => sum + usage.getInFlight(now, id), 0),
+      slots: ready.reduce((sum, { slots }) => sum + slots, 0),
+      waitMs: Math.min(...ready.map(({ id }) => host.getBacklogMs(id))),
+    };
+    return { ok: false, error: { kind, retryAfterMs: getRetryMs(host.random()), seen } };
   }
 
   return { place, getHomes };
--- a/src/gateway/serveCall.ts
+++ b/src/gateway/serveCall.ts
@@ -31,7 +31,7 @@
 
 type End =
   | { kind: 'answered'; status: number }
-  | { kind: 'refused'; status: number; reason: string }
+  | { kind: 'refused'; status: number; reason: string; seen?: unknown }
   | { kind: 'failed'; status: number; reason: string }
   | { kind: 'cut'; reason: string }
   | { kind: 'callerLeft' };
@@ -135,7 +135,13 @@
     if (job.isHeadWritten) {
       return cut(refusal.kind);
     }
-    return { kind: 'refused', status: writeRefusal(job.reply, refusal), reason: refusal.kind };
+    const seen = 'seen' in refusal ? refusal.seen : undefined;
+    return {
+      kind: 'refused',
+      status: writeRefusal(job.reply, refusal),
+      reason: refusal.kind,
+      seen,
+    };
   }
 
   /** Ends a request that may have run. */
--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -3,6 +3,7 @@
 import chooseHome from '../../src/engines/chooseHome';
 import chooseOrder from '../../src/engines/chooseOrder';
 import getMaxLoading from '../../src/engines/getMaxLoading';
+import isCopyWanted from '../../src/engines/isCopyWanted';
 import type Home from '../../src/engines/Home';
 import type Slot from '../../src/engines/Slot';
 import type Want from '../../src/engines/Want';
@@ -117,6 +118,22 @@
     });
   });
 
+  describe('a further engine for a much used adapter', () => {
+    it('is wanted where its engine has much more to do than others, small or large', () => {
+      expect(isCopyWanted({ slots: 16, inFlight: 13, waitMs: 0 }, 8, 5)).to.equal(true);
+      expect(isCopyWanted({ slots: 64, inFlight: 30, waitMs: 0 }, 18, 5)).to.equal(true);
+    });
+
+    it('is wanted where prompts wait, though the requests in progress are few', () => {
+      expect(isCopyWanted({ slots: 16, inFlight: 8, waitMs: 300 }, 8, 3)).to.equal(true);
+    });
+
+    it('is not wanted for chance differences, nor for a seldom used adapter', () => {
+      expect(isCopyWanted({ slots: 64, inFlight: 22, waitMs: 0 }, 18, 9)).to.equal(false);
+      expect(isCopyWanted({ slots: 64, inFlight: 60, waitMs: 400 }, 18, 2)).to.equal(false);
+    });
+  });
+
   describe('the upstream of a request', () => {
     it('is the one with the least to do, a sound and near one', () => {
       const chosen = chooseUpstream(
