--- a/scripts/platform/createPlatformTrial.ts
+++ b/scripts/platform/createPlatformTrial.ts
@@ -97,6 +97,12 @@
     expected.delete(name);
   }
 
+  /** Writes a VM's settings file anew, with a change. */
+  function changeSettings(name: string, change: (text: string) => string): void {
+    const text = getSettings(name, getStoreAddress(vms.indexOf(name)));
+    writeFileSync(path.join(folder, `${name}.toml`), change(text));
+  }
+
   function startVm(name: string): void {
     const index = vms.indexOf(name);
     const file = path.join(folder, `${name}.toml`);
@@ -237,6 +243,7 @@
     start,
     stop,
     startVm,
+    changeSettings,
     end,
     waitUntilReady,
     setManifest,
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -49,7 +49,8 @@
   leaseSeconds: number;
   /** Time within which orders of two owners must not mix. */
   orderGapMs: number;
-  repeat: { ratio: number; windowMs: number; reserve: number };
+  /** Bounds on requests sent once more; they may change while the VM runs. */
+  getRepeat(): { ratio: number; windowMs: number; reserve: number };
 }
 
 /** Composes one entry VM that routes by a manifest. All I/O goes through the host. */
@@ -202,7 +203,7 @@
       );
     },
   });
-  const repeats = createRepeatBudget((now) => members.getServing(now).length, options.repeat);
+  const repeats = createRepeatBudget((now) => members.getServing(now).length, options.getRepeat);
   const gateway = createGateway({
     ...host,
     getManifest: () => manifest,
--- a/src/gateway/createRepeatBudget.ts
+++ b/src/gateway/createRepeatBudget.ts
@@ -13,15 +13,16 @@
  */
 export default function createRepeatBudget(
   getVmCount: (now: number) => number,
-  options: { ratio: number; windowMs: number; reserve: number },
+  getOptions: () => { ratio: number; windowMs: number; reserve: number },
 ) {
   const windows = new Map<string, Window[]>();
 
   /** Halves of a window; the newest three cover any window of the full length. */
   function getRecent(now: number, service: string): Window[] {
-    const halfMs = options.windowMs / 2;
+    const { windowMs } = getOptions();
+    const halfMs = windowMs / 2;
     const all = (windows.get(service) ?? []).filter(
-      (window) => now - window.startedAt < options.windowMs + halfMs,
+      (window) => now - window.startedAt < windowMs + halfMs,
     );
     const newest = all.at(-1);
     if (!newest || now - newest.startedAt >= halfMs) {
@@ -39,6 +40,7 @@
     const recent = getRecent(now, service);
     const requests = recent.reduce((sum, window) => sum + window.requests, 0);
     const repeats = recent.reduce((sum, window) => sum + window.repeats, 0);
+    const options = getOptions();
     const reserve = options.reserve / Math.max(1, getVmCount(now));
     const allowed = (requests * options.ratio * (2 / 3) + reserve) * USED_SHARE;
     if (repeats + 1 > allowed) {
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -59,6 +59,23 @@
     });
   });
 
+  it('read changed settings again, and keep the old ones where the new ones are faulty', async () => {
+    const [vm] = trial.vms;
+    trial.changeSettings(vm, (text) => text.replace('GraceS = 4', 'GraceS = "soon"'));
+    await waitForLog(vm, 'Bounds.GraceS');
+    trial.changeSettings(vm, (text) => text.replace('RetrySlack = 56', 'RetrySlack = 20'));
+    await waitForLog(vm, '"accepted":true');
+    trial.changeSettings(vm, (text) => text.replace('RetrySlack = 56', 'RetrySlack = 30'));
+    trial.signal(vm, 'SIGHUP');
+    await waitForLog(vm, '"cause":"SIGHUP"');
+  });
+
+  async function waitForLog(vm: string, text: string): Promise<void> {
+    while (!trial.getLog(vm).includes(text)) {
+      await wait(100);
+    }
+  }
+
   it('stop on SIGTERM with status 0 and what was begun brought to its end', async () => {
     const [vm] = trial.vms;
     await play('stop', async () => {
--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -190,7 +190,10 @@
   describe('repeats', () => {
     it('stay within the shared budget on all VMs together, in any window', () => {
       const vms = Array.from({ length: 8 }, () =>
-        createRepeatBudget(() => 8, { ratio: 0.2, windowMs: 10_000, reserve: 56 }),
+        createRepeatBudget(
+          () => 8,
+          () => ({ ratio: 0.2, windowMs: 10_000, reserve: 56 }),
+        ),
       );
       const requests: number[] = [];
       const repeats: number[] = [];
