--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -5,6 +5,7 @@
 import type Time from '../shared/Time';
 import type Upstream from '../upstream/Upstream';
 import chooseOrder from './chooseOrder';
+import createOrderLine from './createOrderLine';
 import type EngineFault from './EngineFault';
 import type EngineOrder from './EngineOrder';
 import type EngineReport from './EngineReport';
@@ -21,8 +22,6 @@
 /** Reports are some hundred milliseconds old; an order without an answer shows after that. */
 const REPORT_LAG_MS = 400;
 const RETRY_PAUSE_MS = 150;
-/** An order without an answer is sent again at once under the same condition: one at most is carried out. */
-const MAX_SENDS = 3;
 /** An engine that does not answer is asked again after this. */
 const UNREACHABLE_PAUSE_MS = 400;
 const CONFIRM_AGAIN_MS = 30;
@@ -60,9 +59,17 @@
   let slots: Slot[] = [];
   let models: { name: string; version: number }[] = [];
   let wants: Want[] = [];
-  let sequence = 0;
-  /** Orders that the engine had accepted when this owner first read it. */
-  let firstSequence: number | undefined;
+  const line = createOrderLine(
+    {
+      ...host,
+      onCounted: (sequence) => {
+        slots = slots.filter(
+          (slot) => slot.state !== 'uncertain' || slot.sentAtSequence !== sequence,
+        );
+      },
+    },
+    upstream.id,
+  );
   let isKnown = false;
   let isReachable = true;
   let isSuspect = false;
@@ -199,13 +206,12 @@
         slot.state === 'uncertain' && slot.sentAtSequence === value.sequence && !seen.has(slot.key),
     );
     slots = [...resident, ...coming, ...uncertain];
-    sequence = value.sequence;
-    firstSequence ??= sequence;
+    line.learn(value.sequence);
     isKnown = true;
     slots.forEach(({ key }) => heldBefore.add(key));
     host.log('engineRead', {
       engine: upstream.id,
-      sequence,
+      sequence: value.sequence,
       adapters: resident.length,
       coming: coming.length,
       uncertain: uncertain.length,
@@ -222,7 +228,7 @@
       return RETRY_PAUSE_MS;
     }
     modelOrderedAt.set(model.name, now);
-    const outcome = await send('loadModel', {
+    const outcome = await line.send('loadModel', {
       kind: 'load',
       model: model.name,
       adapter: undefined,
@@ -238,11 +244,11 @@
     wants = wants.filter((other) => other !== wanted);
     slots = slots.filter((slot) => slot.key !== wanted.key);
     const slot = createSlot(now, wanted.key, wanted.version, 'loading');
-    slot.sentAtSequence = sequence;
+    slot.sentAtSequence = line.getSequence();
     slot.askers.push(...wanted.askers);
     slots.push(slot);
     announce();
-    const outcome = await send('load', {
+    const outcome = await line.send('load', {
       kind: 'load',
       model: wanted.model,
       adapter: wanted.adapter,
@@ -267,8 +273,8 @@
   /** Repeats a load whose time has come: the engine answers that it is held once it is. */
   async function confirm(slot: Slot): Promise<number> {
     const [model, adapter] = slot.key.split('/');
-    slot.sentAtSequence = sequence;
-    const outcome = await send('confirm', {
+    slot.sentAtSequence = line.getSequence();
+    const outcome = await line.send('confirm', {
       kind: 'load',
       model,
       adapter,
@@ -289,9 +295,14 @@
   async function unload(slot: Slot): Promise<number> {
     const [model, adapter] = slot.key.split('/');
     slot.state = 'leaving';
-    slot.sentAtSequence = sequence;
+    slot.sentAtSequence = line.getSequence();
     announce();
-    const outcome = await send('unload', { kind: 'unload', model, adapter, version: undefined });
+    const outcome = await line.send('unload', {
+      kind: 'unload',
+      model,
+      adapter,
+      version: undefined,
+    });
     return settle(outcome, slot, () => {
       if (outcome === 'accepted') {
         // Runs of it go on: the place is free once the same order finds nothing left.
@@ -305,7 +316,7 @@
 
   /** Takes an order's outcome: goes on where it is certain, reads the engine where it is not. */
   function settle(
-    outcome: Awaited<ReturnType<typeof send>>,
+    outcome: Awaited<ReturnType<typeof line.send>>,
     slot: Slot,
     onCertain: () => void,
     wanted?: Want,
@@ -334,72 +345,6 @@
     return readAfter - host.now();
   }
 
-  /** Sends an order, again where no answer comes. */
-  async function send(
-    name: string,
-    order: EngineOrder,
-  ): Promise<'accepted' | 'held' | EngineFault['kind']> {
-    const maxSends = order.adapter === undefined ? 1 : MAX_SENDS;
-    for (let sends = 1; ; sends += 1) {
-      const fence = host.tryGetFence(host.now());
-      if (fence === undefined) {
-        return sends > 1 ? 'noAnswer' : 'notSent';
-      }
-      const outcome = await host.order(order, { fence, expectedSequence: sequence });
-      const result = getResult(name, outcome, sends > 1);
-      noteOrder(name, result);
-      host.log('engineOrdered', {
-        engine: upstream.id,
-        order: name,
-        adapter: order.adapter ?? order.model,
-        version: order.version,
-        fence,
-        expected: sequence,
-        outcome: result,
-        reason: outcome.ok ? undefined : (outcome.error as { reason?: string }).reason,
-        sends,
-        waiting: wants.length,
-      });
-      if (result !== 'noAnswer' || sends === maxSends) {
-        return result;
-      }
-    }
-  }
-
-  /**
-   * What an answer says. A conflict after a try without an answer means that this try was carried
-   * out: nobody else knows the count, once this owner has moved it itself.
-   */
-  function getResult(
-    name: string,
-    outcome: Outcome<'accepted' | 'held', EngineFault>,
-    isRepeated: boolean,
-  ): 'accepted' | 'held' | EngineFault['kind'] {
-    if (outcome.ok) {
-      return outcome.value;
-    }
-    const isOurCount = firstSequence !== undefined && sequence > firstSequence;
-    const isDone =
-      outcome.error.kind === 'conflict' && isRepeated && isOurCount && name !== 'confirm';
-    return isDone ? 'accepted' : outcome.error.kind;
-  }
-
-  /** Counts an order that the engine has counted; uncertain orders under the old count are void. */
-  function noteOrder(name: string, result: 'accepted' | 'held' | EngineFault['kind']): void {
-    // Repeating a load that is under way is accepted but not counted; every unload is counted.
-    const isCounted =
-      name === 'unload'
-        ? result === 'accepted' || result === 'held'
-        : result === 'accepted' && name !== 'confirm';
-    if (isCounted) {
-      sequence += 1;
-      slots = slots.filter(
-        (slot) => slot.state !== 'uncertain' || slot.sentAtSequence !== sequence - 1,
-      );
-    }
-    host.countOrder(name, result);
-  }
-
   /** Tells whether the engine answers; while it does not, nothing can be had there. */
   function setReachable(next: boolean): void {
     if (next === isReachable) {
