Dial the platform's seeds, so that a VM finds the others without the store

Ruled out: asking peers, which is done but has nobody to ask. Change: the role serves control, so that the settings name up to three VMs; their IP addresses with this VM's own port are dialled from the start. Test: all VMs killed, one refused by the store: not ready in 20 s before, ready after.

--- a/scripts/platform/createPlatformTrial.ts
+++ b/scripts/platform/createPlatformTrial.ts
@@ -17,6 +17,8 @@
 const START_TIMEOUT_MS = 20_000;
 const POLL_MS = 100;
 const GRACE_S = 4;
+/** The platform names three machines at most. */
+const MAX_SEEDS = 3;
 
 interface Exit {
   code: number | null;
@@ -121,6 +123,10 @@
       `Ip = "${ip}"`,
       `Zone = "${DATA_CENTRES[vms.indexOf(name) % DATA_CENTRES.length]}"`,
       'PortRange = [7380, 7395]',
+      `Seeds = [${vms
+        .slice(0, MAX_SEEDS)
+        .map((vm) => `"${getAddress(vm, 8084)}"`)
+        .join()}]`,
       '[Listen]',
       `Front = "${getAddress(name, 8080)}"`,
       `Ready = "${getAddress(name, 8081)}"`,
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -46,6 +46,8 @@
   address: string;
   callerAddress: string;
   dataCentre: string;
+  /** Addresses, like this VM's own, of some VMs that may be up when the store can't be read. */
+  seeds: string[];
   leaseSeconds: number;
   /** Time within which orders of two owners must not mix. */
   orderGapMs: number;
@@ -94,7 +96,7 @@
       dataCentre: options.dataCentre,
       callerAddress: options.callerAddress,
       incarnation,
-      seeds: [],
+      seeds: options.seeds,
       leaseSeconds: options.leaseSeconds,
     },
   );
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -5,6 +5,7 @@
 
 const ADAPTERS = 20;
 const CALM_MS = 4000;
+const LEASE_MS = 3000;
 const AFTER_KILL_MS = 9000;
 
 function wait(delayMs: number): Promise<void> {
@@ -70,6 +71,17 @@
     await waitForLog(vm, '"cause":"SIGHUP"');
   });
 
+  it('serve again after all were killed, also a VM that the store refuses', async () => {
+    const [refused] = trial.vms;
+    trial.storeRelays.get(refused)!.setMode('cut');
+    await Promise.all(trial.vms.map((vm) => trial.end(vm, 'SIGKILL')));
+    await wait(LEASE_MS + 500);
+    trial.vms.forEach(trial.startVm);
+    await Promise.all(trial.vms.map(trial.waitUntilReady));
+    trial.storeRelays.get(refused)!.setMode('open');
+    await play('back', () => wait(CALM_MS));
+  });
+
   async function waitForLog(vm: string, text: string): Promise<void> {
     while (!trial.getLog(vm).includes(text)) {
       await wait(100);
