--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -16,19 +16,21 @@
 import type Message from '../mesh/Message';
 import createMetrics from '../metrics/createMetrics';
 import createMirror from '../mirror/createMirror';
+import readRange from '../mirror/readRange';
 import createRepeater from '../shared/createRepeater';
 import rankByRendezvous from '../shared/rankByRendezvous';
 import createUpstreamHealth from '../upstream/createUpstreamHealth';
 import createUpstreams from '../upstream/createUpstreams';
-import type Upstream from '../upstream/Upstream';
 import createTurnKeeper from '../turns/createTurnKeeper';
 import createTurnTaker from '../turns/createTurnTaker';
 import type TurnState from '../turns/TurnState';
 import createSpread from '../spread/createSpread';
 import createUsage from '../usage/createUsage';
+import getSource from '../usage/getSource';
 import createUsageTeller from '../usage/createUsageTeller';
 import createPlacement from './createPlacement';
 import type RoutedEntryHost from './RoutedEntryHost';
+import type RoutedEntryOptions from './RoutedEntryOptions';
 
 /** VMs that read the key-value service for all: one may be lost without a pause. */
 const READERS = 2;
@@ -41,22 +43,8 @@
 /** Characters shown of an entry that can't be read. */
 const MAX_SHOWN = 200;
 
-interface Options {
-  /** `ip:port` of the links between entry VMs; the VM's identity. */
-  address: string;
-  callerAddress: string;
-  dataCentre: string;
-  /** Addresses, like this VM's own, of some VMs that may be up when the store can't be read. */
-  seeds: string[];
-  leaseSeconds: number;
-  /** Time within which orders of two owners must not mix. */
-  orderGapMs: number;
-  /** Bounds on requests sent once more; they may change while the VM runs. */
-  getRepeat(): { ratio: number; windowMs: number; reserve: number };
-}
-
 /** Composes one entry VM that routes by a manifest. All I/O goes through the host. */
-export default function createRoutedEntry(host: RoutedEntryHost, options: Options) {
+export default function createRoutedEntry(host: RoutedEntryHost, options: RoutedEntryOptions) {
   const { address } = options;
   const incarnation = host.getNonce();
   const startedAt = host.now();
@@ -81,7 +69,8 @@
   const members = createMembers(
     {
       ...host,
-      keyValue: { ...host.keyValue, range: readRegistry },
+      // The registry is read from the copy of the store: no call is made for it.
+      keyValue: { ...host.keyValue, range: async ({ key }) => readRange(mirror, key) },
       tryGetList: async () => undefined,
       describe: (now) => ({
         tableRevision: manifest?.version ?? 0,
@@ -236,17 +225,6 @@
     metrics,
   });
 
-  function getSource(from: string, dataCentre: string | undefined) {
-    if (dataCentre === undefined) {
-      return { kind: 'vm' as const, name: from };
-    }
-    const isOwn = dataCentre === options.dataCentre;
-    return {
-      kind: isOwn ? ('ownDataCentre' as const) : ('otherDataCentre' as const),
-      name: dataCentre,
-    };
-  }
-
   function getVersion(key: string): number {
     return versions.get(key) ?? 0;
   }
@@ -285,23 +263,6 @@
     host.log('manifestApplied', { manifest: next.version, routes: next.routes.length });
   }
 
-  /** The registry of members, from the copy of the store: no call is made for it. */
-  async function readRegistry({ key }: { key: string }) {
-    return {
-      ok: true as const,
-      value: {
-        revision: mirror.getRevision(),
-        more: false,
-        entries: mirror.getAll(key).map((entry) => ({
-          key: entry.key,
-          value: entry.value!,
-          createRevision: entry.revision,
-          modRevision: entry.revision,
-        })),
-      },
-    };
-  }
-
   function tryGetOwner(engine: string): string | undefined {
     const value = mirror.tryGet(`/baobablink/engines/${engine}`)?.value;
     return value === undefined ? undefined : (JSON.parse(value) as { holder: string }).holder;
@@ -338,7 +299,7 @@
       )
       .with({ kind: 'usage' }, (tidings) => {
         const { dataCentre, loads: told } = tidings;
-        usage.receiveLoads(now, getSource(from, dataCentre), told);
+        usage.receiveLoads(now, getSource(from, dataCentre, options.dataCentre), told);
         tidings.engines.forEach(({ engine, backlogMs, busy }) => {
           turns.receive([[engine, backlogMs]]);
           usage.receiveBusy(now, engine, busy);
@@ -396,18 +357,11 @@
 
   /** Addresses at which callers reach VMs that serve, those of a data centre first. */
   function getCallerAddresses(dataCentre: string): string[] {
-    const now = host.now();
-    const serving = new Set(members.getServing(now));
+    const serving = new Set(members.getServing(host.now()));
     const others = members.getMembers().filter((member) => serving.has(member.address));
-    const all: Pick<Upstream, 'dataCentre' | 'address'>[] = others.map((member) => ({
-      dataCentre: member.dataCentre,
-      address: member.callerAddress,
-    }));
-    if (isReady()) {
-      all.push({ dataCentre: options.dataCentre, address: options.callerAddress });
-    }
+    const all = isReady() ? [...others, options] : others;
     const near = all.filter((vm) => vm.dataCentre === dataCentre);
-    return (near.length > 1 ? near : all).map((vm) => vm.address);
+    return (near.length > 1 ? near : all).map((vm) => vm.callerAddress);
   }
 
   function isReady(): boolean {
--- a/src/usage/createUsage.ts
+++ b/src/usage/createUsage.ts
@@ -1,5 +1,6 @@
 import type Loads from './Loads';
 import type Share from './Share';
+import type Source from './Source';
 
 /** Longer than some lost reports, shorter than a stream: what a silent VM has told is then dropped. */
 const VALID_MS = 3000;
@@ -14,12 +15,6 @@
   lastUsedAt: number;
 }
 
-/** Whose requests a sum counts: one VM's, or those of all VMs of this or of another data centre. */
-interface Source {
-  kind: 'vm' | 'ownDataCentre' | 'otherDataCentre';
-  name: string;
-}
-
 /**
  * Counts the requests in progress. Every VM knows the sum at each upstream; the uses of single
  * adapters are told to the engine's owner, who tells all which adapters are in use.
--- a/test/routed/usage.test.ts
+++ b/test/routed/usage.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import createSpread from '../../src/spread/createSpread';
 import createUsage from '../../src/usage/createUsage';
+import getSource from '../../src/usage/getSource';
 import createUsageTeller from '../../src/usage/createUsageTeller';
 import type Member from '../../src/members/Member';
 import type Message from '../../src/mesh/Message';
@@ -129,14 +130,8 @@
       } else if (message.kind === 'engineState') {
         states.push(message.engine);
       } else if (message.kind === 'usage') {
-        const kind = message.dataCentre === dataCentre ? 'ownDataCentre' : 'otherDataCentre';
-        usage.receiveLoads(
-          now,
-          message.dataCentre === undefined
-            ? { kind: 'vm', name: from }
-            : { kind, name: message.dataCentre },
-          message.loads,
-        );
+        const source = getSource(from, message.dataCentre, dataCentre);
+        usage.receiveLoads(now, source, message.loads);
         message.engines.forEach(({ engine, busy }) => usage.receiveBusy(now, engine, busy));
         states.push(...message.states.map(({ engine }) => engine));
         teller.collect(message);
