--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -23,7 +23,8 @@
   members: Pick<Members, 'hasLease' | 'getLeaseNumber' | 'isEndUnseen' | 'isLeaving'>;
   /** Time of day; only its jumps against the steady clock are looked at. */
   getTimeOfDay(): number;
-  onTaken(engine: string): void;
+  /** An engine was recorded as this VM's own. */
+  onTaken(engine: string, fence: number): void;
   onLost(engine: string): void;
   log: Log;
 }
@@ -153,7 +154,7 @@
       from: record?.holder,
       quietMs: Math.round(orderFrom - now),
     });
-    host.onTaken(engine);
+    host.onTaken(engine, fence);
   }
 
   function lose(engine: string, reason: string): void {
@@ -162,6 +163,14 @@
     host.onLost(engine);
   }
 
+  /** Takes another VM's word that it owns an engine now, which the store may not show here. */
+  function noteClaim(engine: string, fence: number): void {
+    const ownership = owned.get(engine);
+    if (ownership && ownership.fence < fence) {
+      lose(engine, 'claimed by another');
+    }
+  }
+
   function tryGetRecord(engine: string) {
     const entry = host.mirror.tryGet(`${OWNER_PREFIX}${engine}`);
     if (entry?.value === undefined) {
@@ -193,5 +202,5 @@
     return now < distrustUntil;
   }
 
-  return { tick, tryGetFence, getOwned: () => [...owned.keys()] };
+  return { tick, noteClaim, tryGetFence, getOwned: () => [...owned.keys()] };
 }
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -144,6 +144,7 @@
           { kind: 'news' },
           { kind: 'newsWanted' },
           { kind: 'engineState' },
+          { kind: 'engineClaimed' },
           { kind: 'loadWanted' },
           { kind: 'loadRefused' },
           { kind: 'engineDoubted' },
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -111,7 +111,10 @@
       ...host,
       mirror,
       members,
-      onTaken: (engine) => engines.open(engine),
+      onTaken: (engine, fence) => {
+        spread.spread({ kind: 'engineClaimed', engine, fence });
+        engines.open(engine);
+      },
       onLost: (engine) => engines.close(engine),
     },
     { address, incarnation, leaseMs: options.orderGapMs },
@@ -314,6 +317,7 @@
           loads.notice();
         }
       })
+      .with({ kind: 'engineClaimed' }, ({ engine, fence }) => ownerships.noteClaim(engine, fence))
       .with({ kind: 'loadWanted' }, (wanted) => {
         const engine = engines.tryGet(wanted.engine);
         const { model, adapter, version, urgency, waitMs } = wanted;
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -162,6 +162,8 @@
   /** Asks for all that the receiver holds of the key-value service. */
   z.object({ kind: z.literal('newsWanted') }),
   z.object({ kind: z.literal('engineState'), ...State.shape }),
+  /** The sender has become the owner of an engine; whoever gives it orders under a lower fence stops. */
+  z.object({ kind: z.literal('engineClaimed'), engine: z.string(), fence: z.number() }),
   /** Asks the owner of an engine to load an adapter there. */
   z.object({
     kind: z.literal('loadWanted'),
--- a/test/routed/ownerships.test.ts
+++ b/test/routed/ownerships.test.ts
@@ -73,6 +73,17 @@
     expect(trial.getOwners('e1')).to.deep.equal([other]);
   });
 
+  it('ends at another VM’s word, though the store does not show it', async () => {
+    const trial = createTrial(2);
+    await trial.run(4000);
+    const [vm] = trial.getOwners('e1');
+    const fence = trial.getFence(vm, 'e1')!;
+    trial.vms.get(vm)!.ownerships.noteClaim('e1', fence);
+    expect(trial.getFence(vm, 'e1')).to.equal(fence);
+    trial.vms.get(vm)!.ownerships.noteClaim('e1', fence + 5);
+    expect(trial.getFence(vm, 'e1')).to.equal(undefined);
+  });
+
   it('waits after a claim whose answer was lost as after one that was answered', async () => {
     const trial = createTrial(2);
     await trial.run(4000);
