Add a load tool that compares builds on the stand-in of the platform

`npm run lab`: a described load, every answer judged as in the soak, latency percentiles by kind (hdr-histogram-js), a table or JSON, an SVG plot, builds in turn over rounds.

--- /dev/null
+++ b/scripts/lab.ts
@@ -0,0 +1,162 @@
+/**
+ * Plays a load against entry VMs on the stand-in of the platform, checks every answer, and compares
+ * builds of the product, which are played in turn, several rounds each. `npm run lab -- --help`.
+ */
+import { build } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+import meow from 'meow';
+import createRandom from '../bench/createRandom';
+import createCallers from './platform/createCallers';
+import createPlatformTrial from './platform/createPlatformTrial';
+import writePlot from './writePlot';
+
+const KINDS = ['chat', 'resume', 'hold', 'look'] as const;
+const PERCENTILES = [50, 90, 99] as const;
+const WARM_UP_MS = 2000;
+const OWN_BUNDLE = 'target/baobablink.cjs';
+
+const cli = meow(
+  `Usage: npm run lab -- [options]
+  --bundle FILE        build to play, repeatable (default: this checkout's, built now)
+  --rounds N           rounds of each build, in turn (default: 2)
+  --seconds N          length of a round (default: 10)
+  --per-second N       requests a second, of all kinds (default: 60)
+  --adapters N         adapters that are asked for, some much more often (default: 24)
+  --vms N, --engines N entry VMs and model servers (default: 3 and 3)
+  --seed N             seed of the load (default: 1)
+  --json               figures as JSON instead of a table
+  --plot FILE          latencies by kind and build as SVG`,
+  {
+    importMeta: import.meta,
+    flags: {
+      bundle: { type: 'string', isMultiple: true, default: [OWN_BUNDLE] },
+      rounds: { type: 'number', default: 2 },
+      seconds: { type: 'number', default: 10 },
+      perSecond: { type: 'number', default: 60 },
+      adapters: { type: 'number', default: 24 },
+      vms: { type: 'number', default: 3 },
+      engines: { type: 'number', default: 3 },
+      seed: { type: 'number', default: 1 },
+      json: { type: 'boolean', default: false },
+      plot: { type: 'string' },
+    },
+  },
+);
+const { flags } = cli;
+
+interface Figures {
+  build: string;
+  kind: (typeof KINDS)[number];
+  sent: number;
+  served: number;
+  refused: number;
+  /** Milliseconds to the end of an answer, by percentile. */
+  latencies: Record<string, number>;
+}
+
+interface Seen {
+  sent: number;
+  served: number;
+  refused: number;
+  histogram: Histogram;
+}
+
+const seen = new Map<string, Seen>();
+const wrong: string[] = [];
+
+async function playRound(bundle: string, round: number): Promise<void> {
+  const trial = createPlatformTrial({
+    vms: flags.vms,
+    engines: flags.engines,
+    network: 90,
+    // This checkout's build is made once.
+    bundle: bundle === OWN_BUNDLE && round === 1 ? undefined : bundle,
+  });
+  await trial.start();
+  const callers = createCallers(trial, {
+    name: `round${round}`,
+    random: createRandom(flags.seed + round),
+    adapters: flags.adapters,
+    pauseMs: 1000 / flags.perSecond,
+  });
+  const startedAt = Date.now();
+  const calling = callers.run();
+  await new Promise((resolve) => {
+    setTimeout(resolve, WARM_UP_MS + flags.seconds * 1000);
+  });
+  await callers.stop();
+  await calling;
+  const ledger = await trial.getLedger();
+  wrong.push(...callers.judge(ledger), ...ledger.faults.map(({ text }) => text));
+  await trial.stop();
+  callers
+    .getAnswers()
+    .filter(({ sentAt }) => sentAt - startedAt >= WARM_UP_MS)
+    .forEach(({ kind, status, sentAt, endedAt }) => {
+      const key = `${bundle} ${kind}`;
+      const part = seen.get(key) ?? { sent: 0, served: 0, refused: 0, histogram: build() };
+      seen.set(key, part);
+      part.sent += 1;
+      if (status === 200) {
+        part.served += 1;
+        part.histogram.recordValue(Math.max(1, endedAt - sentAt));
+      } else if (status === 503) {
+        part.refused += 1;
+      }
+    });
+}
+
+function getFigures(): Figures[] {
+  return flags.bundle.flatMap((bundle) =>
+    KINDS.flatMap((kind) => {
+      const part = seen.get(`${bundle} ${kind}`);
+      if (!part) {
+        return [];
+      }
+      const { sent, served, refused, histogram } = part;
+      const latencies = Object.fromEntries(
+        PERCENTILES.map((percentile) => [
+          `p${percentile}`,
+          histogram.getValueAtPercentile(percentile),
+        ]),
+      );
+      return [{ build: bundle, kind, sent, served, refused, latencies }];
+    }),
+  );
+}
+
+for (let round = 1; round <= flags.rounds; round += 1) {
+  for (const bundle of flags.bundle) {
+    process.stderr.write(`round ${round} of ${flags.rounds}: ${bundle}\n`);
+    await playRound(bundle, round);
+  }
+}
+const figures = getFigures();
+if (flags.json) {
+  process.stdout.write(`${JSON.stringify({ figures, wrong })}\n`);
+} else {
+  process.stdout.write('build kind sent served refused p50 p90 p99 (ms)\n');
+  figures.forEach(({ build: name, kind, sent, served, refused, latencies }) =>
+    process.stdout.write(
+      `${[name, kind, sent, served, refused, ...Object.values(latencies)].join(' ')}\n`,
+    ),
+  );
+  wrong.forEach((text) => process.stdout.write(`wrong: ${text}\n`));
+}
+if (flags.plot !== undefined) {
+  const values = figures.flatMap(({ build: name, kind, latencies }) =>
+    Object.entries(latencies).map(([percentile, ms]) => ({ build: name, kind, percentile, ms })),
+  );
+  await writePlot(flags.plot, {
+    data: { values },
+    mark: 'bar',
+    encoding: {
+      column: { field: 'kind', type: 'nominal' },
+      x: { field: 'percentile', type: 'nominal', title: undefined },
+      xOffset: { field: 'build', type: 'nominal' },
+      y: { field: 'ms', type: 'quantitative', title: 'milliseconds' },
+      color: { field: 'build', type: 'nominal' },
+    },
+  });
+}
+process.exit(wrong.length > 0 ? 1 : 0);
--- a/scripts/platform/createPlatformTrial.ts
+++ b/scripts/platform/createPlatformTrial.ts
@@ -34,6 +34,8 @@
   engines: number;
   /** Second number of the loopback addresses, so that trials can stand side by side. */
   network?: number;
+  /** Bundle of the product that the VMs run; built anew where none is named. */
+  bundle?: string;
 }) {
   const network = options.network ?? 60;
 
@@ -110,7 +112,7 @@
     const file = path.join(folder, `${name}.toml`);
 
     writeFileSync(file, getSettings(name, getStoreAddress(index)));
-    spawnChild(name, ['target/baobablink.cjs', 'serve-platform'], {
+    spawnChild(name, [options.bundle ?? 'target/baobablink.cjs', 'serve-platform'], {
       BAOBABLINK_SETTINGS_FILE: file,
       BAOBABLINK_CLUSTER_KEY: CLUSTER_KEY,
     });
@@ -145,7 +147,9 @@
   }
 
   async function start(): Promise<void> {
-    execFileSync('bash', ['scripts/build-platform.sh'], { stdio: 'pipe' });
+    if (options.bundle === undefined) {
+      execFileSync('bash', ['scripts/build-platform.sh'], { stdio: 'pipe' });
+    }
     const file = path.join(folder, 'layout.json');
 
     writeFileSync(file, JSON.stringify(layout));
--- a/scripts/write-curves.ts
+++ b/scripts/write-curves.ts
@@ -1,13 +1,11 @@
 /** Writes docs/curves.svg and prints the figures: stalls against batch fill over the stall weight. */
-import { readFileSync, writeFileSync } from 'node:fs';
-import { parse, View } from 'vega';
-import { compile } from 'vega-lite';
-import type { TopLevelSpec } from 'vega-lite';
+import { readFileSync } from 'node:fs';
 import getArrivals from '../bench/getArrivals';
 import createLruPolicy from '../bench/policies/createLruPolicy';
 import runPolicy from '../bench/runPolicy';
 import Workload from '../bench/Workload';
 import createValuePolicy from '../src/pool/createValuePolicy';
+import writePlot from './writePlot';
 
 const WEIGHTS = [0, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1];
 const WORKLOADS = ['maraval-ordinary', 'pritchard-ordinary'];
@@ -45,19 +43,14 @@
   },
 });
 
-const specification: TopLevelSpec = {
-  $schema: 'https://vega.github.io/schema/vega-lite/v6.json',
-  background: 'white',
-  data: { values: points },
-  hconcat: [
-    getLayer('stallMean', 'Mean stall (lower is better)'),
-    getLayer('batchFill', 'Batch fill (higher is better)'),
-  ],
-};
-
 async function main(): Promise<void> {
-  const view = new View(parse(compile(specification).spec), { renderer: 'none' });
-  writeFileSync('docs/curves.svg', await view.toSVG());
+  await writePlot('docs/curves.svg', {
+    data: { values: points },
+    hconcat: [
+      getLayer('stallMean', 'Mean stall (lower is better)'),
+      getLayer('batchFill', 'Batch fill (higher is better)'),
+    ],
+  });
   points.forEach((point) =>
     process.stdout.write(
       `${point.workload} ${point.stallWeight} stall ${point.stallMean.toFixed(2)} fill ${point.batchFill.toFixed(2)}\n`,
