--- a/scripts/createTrial.ts
+++ b/scripts/createTrial.ts
@@ -2,13 +2,12 @@
 import type { ChildProcess } from 'node:child_process';
 import { createHash } from 'node:crypto';
 import { request } from 'undici';
+import waitFor from './waitFor';
 
 const CLUSTER_KEY = 'trial-cluster-key-0001';
 const OPERATOR_TOKEN = 'trial-operator-token-1';
 const CALLER_KEY = 'trial-caller-key';
 const ENGINE_COUNT = 3;
-const START_TIMEOUT_MS = 20_000;
-const POLL_MS = 100;
 
 /**
  * Lays out a trial: stand-ins and entry VMs as separate processes on loopback addresses, which are
@@ -226,15 +225,3 @@
   model: string;
   choices?: { delta: { content?: string }; finish_reason: string | null }[];
 }
-
-async function waitFor(isMet: () => Promise<boolean>): Promise<void> {
-  const startedAt = Date.now();
-  while (!(await isMet())) {
-    if (Date.now() - startedAt > START_TIMEOUT_MS) {
-      throw new Error('the trial did not start in time');
-    }
-    await new Promise((resolve) => {
-      setTimeout(resolve, POLL_MS);
-    });
-  }
-}
--- a/scripts/platform/createPlatformTrial.ts
+++ b/scripts/platform/createPlatformTrial.ts
@@ -7,6 +7,7 @@
 import createRelay from '../../standins/createRelay';
 import type Layout from '../../standins/platform/Layout';
 import type Ledger from '../../standins/platform/Ledger';
+import waitFor from '../waitFor';
 
 const CLUSTER_KEY = 'trial-cluster-key-0001';
 const MODEL = 'base';
@@ -14,8 +15,6 @@
 const PLACES = 4;
 const PLAIN_SERVERS = 2;
 const DATA_CENTRES = ['x', 'y', 'z'];
-const START_TIMEOUT_MS = 20_000;
-const POLL_MS = 100;
 const GRACE_S = 4;
 /** The platform names three machines at most. */
 const MAX_SEEDS = 3;
@@ -280,15 +279,3 @@
     return 0;
   }
 }
-
-async function waitFor(isMet: () => Promise<boolean>): Promise<void> {
-  const startedAt = Date.now();
-  while (!(await isMet())) {
-    if (Date.now() - startedAt > START_TIMEOUT_MS) {
-      throw new Error('the trial did not start in time');
-    }
-    await new Promise((resolve) => {
-      setTimeout(resolve, POLL_MS);
-    });
-  }
-}
