Log what tells late changes apart: missed changes, loop delays, full links

The incident's logs showed late manifests but not whether the VM had missed a change, had stood still or waited behind a full link; kb_out of the users' monitoring had to serve. New events 212 changesMissed, 213 changesRepaired, 241 loopDelayed and 203 linkCongested; the metrics loop_delay_seconds and mesh_queued_bytes; manifestApplied states its revision and how long the mirror had been unconfirmed. Decisions are unchanged.

--- a/src/entry/RoutedEntryHost.ts
+++ b/src/entry/RoutedEntryHost.ts
@@ -28,6 +28,8 @@
   decodeHead(status: number, headers: Record<string, string | string[] | undefined>): ResponseHead;
   /** Returns whether the message was queued for sending. */
   send(to: string, message: Message): boolean;
+  /** Returns the bytes that wait to be sent, by VM; VMs without any are left out. */
+  getQueuedBytes(): ReadonlyMap<string, number>;
   /** Replaces the link to a VM. */
   redial(to: string): void;
   /** Sets the addresses of the entry VMs to keep links to, and closes the links to others. */
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -13,11 +13,13 @@
 import type Change from '../keyValue/Change';
 import type Manifest from '../manifest/Manifest';
 import createMembers from '../members/createMembers';
+import createCongestionLog from '../mesh/createCongestionLog';
 import type Message from '../mesh/Message';
 import createMetrics from '../metrics/createMetrics';
 import createMirror from '../mirror/createMirror';
 import readRange from '../mirror/readRange';
 import runPeriodically from '../shared/runPeriodically';
+import watchLoopDelay from '../shared/watchLoopDelay';
 import rankByRendezvous from '../shared/rankByRendezvous';
 import createUpstreamHealth from '../upstream/createUpstreamHealth';
 import createUpstreams from '../upstream/createUpstreams';
@@ -244,7 +246,7 @@
 
   function applyChange(_: number, change: Change): void {
     match(host.decodeChange(change))
-      .with({ kind: 'manifest' }, (decoded) => applyManifest(decoded.manifest))
+      .with({ kind: 'manifest' }, (decoded) => applyManifest(decoded.manifest, change.revision))
       .with({ kind: 'upstream' }, ({ id, upstream }) => {
         if (!upstream && change.value !== undefined) {
           const text = change.value.slice(0, MAX_LOGGED_LENGTH);
@@ -263,7 +265,7 @@
       .exhaustive();
   }
 
-  function applyManifest(newManifest: Manifest | undefined): void {
+  function applyManifest(newManifest: Manifest | undefined, revision: number): void {
     if (!newManifest) {
       host.log('manifestRefused', { inForce: manifest?.version });
       return;
@@ -276,6 +278,8 @@
     host.log('manifestApplied', {
       manifest: newManifest.version,
       routes: newManifest.routes.length,
+      revision,
+      unconfirmedMs: Math.round(host.now() - mirror.getConfirmedAt()),
     });
   }
 
@@ -367,8 +371,19 @@
   function start(): void {
     mirror.start();
     members.start();
+    watchLoopDelay(host, (delayMs) => {
+      metrics.loopDelay.observe(delayMs / 1000);
+      host.log('loopDelayed', { delayMs, requests: gateway.getInFlight() });
+    });
     runPeriodically(host, OWNERSHIP_INTERVAL_MS, () => ownerships.reconcile(getEngineIds()));
-    runPeriodically(host, USAGE_INTERVAL_MS, usagePublisher.publish);
+    const checkCongestion = createCongestionLog({
+      ...host,
+      setQueuedBytes: (bytes) => metrics.meshQueuedBytes.set(bytes),
+    });
+    runPeriodically(host, USAGE_INTERVAL_MS, () => {
+      usagePublisher.publish();
+      checkCongestion(host.now());
+    });
     runPeriodically(host, STATES_INTERVAL_MS, () => engines.announceStates());
   }
 
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -24,8 +24,15 @@
     'warn',
     'A message of a kind that this entry VM does not handle was dropped.',
   ),
+  linkCongested: e(
+    203,
+    'warn',
+    'Messages to other entry VMs wait because their links carry less than is sent.',
+  ),
   storeLost: e(210, 'warn', 'The key-value service has stopped responding.'),
   storeRegained: e(211, 'info', 'The key-value service responds again.'),
+  changesMissed: e(212, 'warn', 'Changes of the key-value service did not reach this entry VM.'),
+  changesRepaired: e(213, 'info', 'This entry VM has the changes that it had missed.'),
   manifestApplied: e(220, 'info', 'A new manifest is in force on this entry VM.'),
   manifestRefused: e(
     221,
@@ -38,6 +45,7 @@
   upstreamSuspended: e(232, 'warn', 'An upstream was suspended after repeated failures.'),
   upstreamUnreadable: e(233, 'warn', 'The record of an upstream could not be decoded.'),
   clockJumped: e(240, 'warn', 'The time of day jumped relative to the steady clock.'),
+  loopDelayed: e(241, 'warn', 'The event loop of this entry VM was held up.'),
   rowApplied: e(300, 'debug', 'A table row is in force on this entry VM.'),
   editAccepted: e(301, 'info', 'A table edit was accepted.'),
   editRefused: e(302, 'info', 'A table edit was refused.'),
--- a/src/mesh/createMesh.ts
+++ b/src/mesh/createMesh.ts
@@ -244,7 +244,16 @@
     accepted.forEach((socket) => socket.destroy());
   }
 
-  return { listen, setPeers, send, redial, close };
+  /** Returns the bytes that wait to be sent, by link; links without any are left out. */
+  function getQueuedBytes(): Map<string, number> {
+    return new Map(
+      [...links]
+        .map(([peer, { socket }]): [string, number] => [peer, socket.writableLength])
+        .filter(([, bytes]) => bytes > 0),
+    );
+  }
+
+  return { listen, setPeers, send, redial, close, getQueuedBytes };
 }
 
 function tryDecode(payload: Buffer): unknown {
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -29,6 +29,16 @@
       'Bytes sent to other entry VMs, by kind of message.',
       ['kind'],
     ),
+    meshQueuedBytes: gauge(
+      'mesh_queued_bytes',
+      'Bytes that wait to be sent to other entry VMs.',
+      [],
+    ),
+    loopDelay: histogram(
+      'loop_delay_seconds',
+      'Delays of the event loop of 0.3 s or more.',
+      LATENCY_BUCKETS_SECONDS,
+    ),
     keyValueCalls: counter('key_value_calls_total', 'Calls to the key-value service, by kind.', [
       'call',
     ]),
--- a/src/mirror/createMirror.ts
+++ b/src/mirror/createMirror.ts
@@ -44,7 +44,7 @@
   let failedAt = -Infinity;
   let isServiceDown = false;
   let isListingNeeded = true;
-  let hasGap = false;
+  let gapSince: number | undefined;
   let isStopped = false;
 
   function start(): void {
@@ -68,7 +68,7 @@
     if (isListingNeeded || (isReader && now - listedAt > RELIST_AFTER_MS)) {
       return (await listAll()) ? READER_PAUSE_MS : FAILURE_PAUSE_MS;
     }
-    if (!isReader && !hasGap && now - confirmedAt < SELF_READ_AFTER_MS) {
+    if (!isReader && gapSince === undefined && now - confirmedAt < SELF_READ_AFTER_MS) {
       return CHECK_PAUSE_MS;
     }
     return follow(isReader ? FOLLOW_WAIT_MS : 0);
@@ -112,7 +112,6 @@
       recordFailure(result.error.kind);
       return result.error.kind === 'compacted' ? 0 : FAILURE_PAUSE_MS;
     }
-    hasGap = false;
     applyChanges(result.value.changes, result.value.revision);
     return READER_PAUSE_MS;
   }
@@ -125,6 +124,7 @@
       host.log('storeRegained', { revision: confirmedRevision });
     }
     confirmedAt = now;
+    closeGap(now, confirmedRevision);
     const fromRevision = revision;
     const appliedChanges = changes.filter((change) => applyChange(now, change));
     revision = Math.max(revision, confirmedRevision);
@@ -165,15 +165,31 @@
       return;
     }
     if (batch.fromRevision > revision) {
-      hasGap = true;
+      openGap(now, batch.fromRevision);
       return;
     }
     batch.changes.forEach((change) => applyChange(now, change));
     revision = batch.revision;
+    closeGap(now, revision);
     confirmedAt = Math.max(confirmedAt, now - batch.ageMs);
     isListingNeeded = false;
   }
 
+  function openGap(now: number, nextRevision: number): void {
+    if (gapSince === undefined) {
+      gapSince = now;
+      host.log('changesMissed', { revision, nextRevision });
+    }
+  }
+
+  function closeGap(now: number, repairedRevision: number): void {
+    if (gapSince !== undefined) {
+      const openMs = Math.round(now - gapSince);
+      gapSince = undefined;
+      host.log('changesRepaired', { revision: repairedRevision, openMs });
+    }
+  }
+
   /** Returns all entries, for a VM that has just started; undefined if the mirror is empty. */
   function getSnapshot(): ChangeBatch | undefined {
     if (revision === 0) {
