--- /dev/null
+++ b/test/fleet/createTestFleet.ts
@@ -0,0 +1,346 @@
+import { decode } from 'cbor-x';
+import createRandom from '../../bench/createRandom';
+import createRoutedEntry from '../../src/entry/createRoutedEntry';
+import type DecodedChange from '../../src/entry/DecodedChange';
+import type RoutedEntryHost from '../../src/entry/RoutedEntryHost';
+import type Change from '../../src/keyValue/Change';
+import type Manifest from '../../src/manifest/Manifest';
+import encodeFrame from '../../src/mesh/encodeFrame';
+import Message from '../../src/mesh/Message';
+import type CallerRequest from '../../src/gateway/CallerRequest';
+import type ResponseHandler from '../../src/upstream/ResponseHandler';
+import type Upstream from '../../src/upstream/Upstream';
+import createKeyValueStore from '../../standins/platform/createKeyValueStore';
+import createVirtualClock from '../scenario/createVirtualClock';
+
+const CALL_MS = 4;
+const LINK_DELAY_MS = 1;
+const LEASE_CHECK_MS = 100;
+const LENGTH_BYTES = 4;
+const MANIFEST_KEY = 'manifest';
+const UPSTREAM_PREFIX = 'upstreams/';
+const MODEL = 'model257406';
+const ADAPTERS_PER_ENGINE = 11;
+const STREAM_MS = 1500;
+
+type Fault = 'none' | 'refused' | 'silent';
+
+/**
+ * Creates entry VMs with all their controllers on fake links and a fake key-value service, which can
+ * refuse single VMs. Time is virtual. Links may lose messages and have a limited bandwidth.
+ */
+export default function createTestFleet(options: {
+  vms: number;
+  dataCentres?: string[];
+  /** Engines that hold adapters from the start. */
+  engines?: number;
+  /** Bytes that the outgoing link of a VM carries in a millisecond; unlimited if undefined. */
+  linkBytesPerMs?: number;
+}) {
+  const clock = createVirtualClock();
+  const random = createRandom(1);
+  const dataCentres = options.dataCentres ?? ['x', 'y', 'z'];
+  const engines = Array.from({ length: options.engines ?? 0 }, (_, index) => createEngine(index));
+  const store = createKeyValueStore();
+  const addresses = Array.from({ length: options.vms }, (_, index) => `10.0.0.${index + 1}:7380`);
+  const faults = new Map<string, Fault>();
+  const lostLinks = new Set<string>();
+  let lastFrame: { message: Message; frame: Buffer } | undefined;
+  const linkFreeAt = new Map<string, number>();
+  const sentBytes = new Map<string, number>();
+  const events: { at: number; vm: string; name: string; fields: Record<string, unknown> }[] = [];
+  const vms = new Map(addresses.map((address, index) => [address, createVm(address, index)]));
+
+  function createVm(address: string, index: number) {
+    const log: RoutedEntryHost['log'] = (name, fields = {}) =>
+      events.push({ at: clock.now(), vm: address, name, fields });
+    return createRoutedEntry(
+      {
+        now: clock.now,
+        setTimer: clock.setTimer,
+        keyValue: createKeyValue(address),
+        engines: {
+          sendCommand: async () => ({ ok: false, error: { kind: 'noAnswer', reason: 'none' } }),
+          getReport: async ({ id }) => {
+            const { models } = engines.find((engine) => engine.id === id)!;
+            return { ok: true, value: { models, coming: [], sequence: 1, isBusy: false } };
+          },
+        },
+        connections: { send: (...[, , , handler]) => runStream(handler), getOpenCount: () => 0 },
+        decodeChange,
+        encodeRequest: () => ({ method: 'GET', path: '/', headers: [], body: undefined }),
+        decodeHead: (status) => ({ status, headers: [], id: undefined, isNotRun: false }),
+        send: (to, message) => send(address, to, message),
+        getQueuedBytes: () => new Map(),
+        redial: () => {},
+        setPeers: () => {},
+        random,
+        getTimeOfDay: clock.now,
+        createNonce: () => address,
+        log,
+      },
+      {
+        address,
+        callerAddress: address.replace(':7380', ':8080'),
+        dataCentre: dataCentres[index % dataCentres.length],
+        seeds: addresses.slice(0, 3),
+        leaseSeconds: 3,
+        takeoverDelayMs: 3000,
+        getRetryLimits: () => ({ ratio: 0.2, windowMs: 10_000, reserve: 50 }),
+      },
+    );
+  }
+
+  function runStream(handler: ResponseHandler) {
+    const cancel = clock.setTimer(STREAM_MS, () => {
+      handler.onHead(200, {});
+      handler.onData(Buffer.from('id: 1\n\n'));
+      handler.onEnd();
+    });
+    return { abort: cancel, pause: () => {}, resume: () => {} };
+  }
+
+  /** Sends one stream request for a random resident adapter to each VM, at random times. */
+  function sendRequests(perSecond: number, durationMs: number): void {
+    const count = Math.round((vms.size * perSecond * durationMs) / 1000);
+    Array.from({ length: count }, (_, index) =>
+      clock.setTimer(random() * durationMs, () => {
+        const engine = engines[Math.floor(random() * engines.length)];
+        const { adapters } = engine.models[0];
+        const { name } = adapters[Math.floor(random() * adapters.length)];
+        const vm = vms.get(addresses[Math.floor(random() * addresses.length)])!;
+        vm.handle(createRequest(index, name), responseWriter);
+      }),
+    );
+  }
+
+  /** Queues a message on the sender's link, whose bandwidth delays it. */
+  function send(from: string, to: string, message: Message): boolean {
+    const frame = lastFrame?.message === message ? lastFrame.frame : encodeFrame(message);
+    lastFrame = { message, frame };
+    sentBytes.set(from, (sentBytes.get(from) ?? 0) + frame.length);
+    const startAt = Math.max(clock.now(), linkFreeAt.get(from) ?? 0);
+    const departAt = startAt + frame.length / (options.linkBytesPerMs ?? Infinity);
+    linkFreeAt.set(from, departAt);
+    if (!lostLinks.has(`${from}>${to}`)) {
+      clock.setTimer(departAt - clock.now() + LINK_DELAY_MS, () => {
+        const received = Message.safeParse(decode(frame.subarray(LENGTH_BYTES)));
+        if (received.success) {
+          vms.get(to)?.receive(from, received.data);
+        }
+      });
+    }
+    return true;
+  }
+
+  function createKeyValue(address: string): RoutedEntryHost['keyValue'] {
+    const call = async <Value>(handle: () => Value) => {
+      const fault = faults.get(address) ?? 'none';
+      await wait(fault === 'silent' ? 1000 : CALL_MS);
+      if (fault !== 'none') {
+        return { ok: false as const, error: { kind: 'notDone' as const, reason: fault } };
+      }
+      return { ok: true as const, value: handle() };
+    };
+    return {
+      list: () =>
+        call(() => ({
+          revision: store.getRevision(),
+          more: false,
+          changes: store
+            .getEntries('')
+            .map(({ key, revision, value }) => ({ key, revision, value })),
+        })),
+      follow: async ({ afterRevision, waitMs }) => {
+        const until = clock.now() + waitMs;
+        while (store.tryGetChanges('', afterRevision)?.length === 0 && clock.now() < until) {
+          await Promise.race([
+            wait(until - clock.now()),
+            new Promise<void>((resolve) => {
+              store.onNextChange(resolve);
+            }),
+          ]);
+        }
+        const result = await call(() => store.tryGetChanges('', afterRevision));
+        if (!result.ok || !result.value) {
+          return result.ok ? { ok: false, error: { kind: 'compacted' } } : result;
+        }
+        const changes = result.value.map(({ key, revision, entry }) => ({
+          key,
+          revision,
+          value: entry?.value,
+        }));
+        return { ok: true, value: { revision: store.getRevision(), changes } };
+      },
+      transact: ({ compare, writes }) =>
+        call(() => {
+          const revision = store.writeIf(
+            compare.map(({ key, modRevision }) => ({ key, revision: modRevision })),
+            {
+              puts: writes
+                .filter((write) => write.kind === 'put')
+                .map(({ key, value, lease }) => ({ key, value, lease: Number(lease ?? 0) })),
+              removes: writes.filter((write) => write.kind === 'delete').map(({ key }) => key),
+            },
+          );
+          return { succeeded: revision !== undefined, revision: revision ?? 0, read: [] };
+        }),
+      grantLease: (ttlSeconds) =>
+        call(() => String(store.grantLease(clock.now(), ttlSeconds * 1000))),
+      keepLeaseAlive: (lease) => call(() => (store.renewLease(clock.now(), Number(lease)) ? 1 : 0)),
+      revokeLease: (lease) => call(() => store.revokeLease(Number(lease))),
+    };
+  }
+
+  function wait(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      clock.setTimer(delayMs, resolve);
+    });
+  }
+
+  function expireLeases(): void {
+    store.expire(clock.now());
+    clock.setTimer(LEASE_CHECK_MS, expireLeases);
+  }
+
+  function put(key: string, value: unknown): void {
+    store.write({ puts: [{ key, value: JSON.stringify(value), lease: 0 }], removes: [] });
+  }
+
+  function setManifest(version: number): void {
+    put(MANIFEST_KEY, { version });
+  }
+
+  /** Returns how long after `since` a manifest version came into force, by VM. */
+  function getDelays(version: number, since: number): Map<string, number> {
+    return new Map(
+      addresses.map((address) => {
+        const applied = events.find(
+          ({ vm, name, fields }) =>
+            vm === address && name === 'manifestApplied' && (fields.manifest as number) >= version,
+        );
+        return [address, applied ? applied.at - since : Infinity];
+      }),
+    );
+  }
+
+  async function start(): Promise<void> {
+    setManifest(1);
+    engines.forEach((engine) => put(`${UPSTREAM_PREFIX}${engine.id}`, engine));
+    vms.forEach((vm) => vm.start());
+    expireLeases();
+    await clock.advance(6000);
+  }
+
+  return {
+    clock,
+    addresses,
+    vms,
+    events,
+    start,
+    setManifest,
+    getDelays,
+    sendRequests,
+    setFault: (address: string, fault: Fault) => faults.set(address, fault),
+    /** Makes the link between two VMs lose every message in one direction. */
+    setLost: (from: string, to: string, isLost: boolean) =>
+      isLost ? lostLinks.add(`${from}>${to}`) : lostLinks.delete(`${from}>${to}`),
+    getSentBytes: (address: string) => sentBytes.get(address) ?? 0,
+  };
+}
+
+function decodeChange({ key, value }: Change): DecodedChange {
+  if (key === MANIFEST_KEY && value !== undefined) {
+    const { version } = JSON.parse(value) as { version: number };
+    return { kind: 'manifest', manifest: createManifest(version) };
+  }
+  if (key.startsWith(UPSTREAM_PREFIX)) {
+    const upstream = value === undefined ? undefined : (JSON.parse(value) as Upstream);
+    return { kind: 'upstream', id: key.slice(UPSTREAM_PREFIX.length), upstream };
+  }
+  return { kind: 'other' };
+}
+
+function createManifest(version: number): Manifest {
+  return {
+    version,
+    routes: [
+      {
+        name: 'chat',
+        host: 'fleet.example',
+        pathPrefix: '/chat/',
+        kind: 'stream',
+        timeoutMs: 10_000,
+        latencyObjectiveMs: 600,
+        pauseObjectiveMs: 300,
+        attempts: 1,
+        urgency: 1,
+        isResumable: false,
+        targets: [{ service: 'models', weight: 1 }],
+      },
+    ],
+    services: new Map([
+      [
+        'models',
+        {
+          name: 'models',
+          maxConnections: 500,
+          engine: {
+            batchSlots: 16,
+            adapterSlots: ADAPTERS_PER_ENGINE,
+            memoryMb: 36_000,
+            models: [{ name: MODEL, sizeMb: 34_300, loadMs: 1000, adapterSizeMb: 40 }],
+          },
+        },
+      ],
+    ]),
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  };
+}
+
+function createEngine(index: number): Upstream {
+  return {
+    id: `i-${(0x6ea83171b + index * 0x1f3d5).toString(16)}`,
+    startedAt: 1,
+    service: 'models',
+    address: `10.0.1.${index + 1}:8761`,
+    dataCentre: 'x',
+    state: 'ready',
+    slots: 16,
+    models: [
+      {
+        name: MODEL,
+        version: 1,
+        adapters: Array.from({ length: ADAPTERS_PER_ENGINE }, (_, place) => ({
+          name: `a${1000 + index * ADAPTERS_PER_ENGINE + place}`,
+          version: 1,
+        })),
+      },
+    ],
+  };
+}
+
+function createRequest(index: number, adapter: string): CallerRequest {
+  return {
+    id: `request-${index}`,
+    method: 'POST',
+    path: '/chat/1',
+    host: 'fleet.example',
+    headers: [],
+    deadlineMs: 10_000,
+    model: MODEL,
+    adapter,
+    promptTokens: 300,
+    outputTokens: 50,
+    resumeAfter: undefined,
+    body: Buffer.alloc(0),
+  };
+}
+
+const responseWriter = {
+  writeHead: () => {},
+  write: () => true,
+  end: () => {},
+  abort: () => {},
+  onDrain: () => {},
+};
