A VM that missed one change gets the following ones from other VMs

Callers saw (CONFIG, DRAIN): single VMs routed by a manifest, or to an upstream, that had been out of force for seconds. Cause: a VM ignored each batch that began after its own revision and read the service instead; while the service refused it, it kept its revision although every other VM had the changes. Readers were chosen without regard to whether the service answers them. A VM now compares the revisions in heartbeats with its own and requests what it lacks from a VM that has it, 8 s of overlap included, since a read of changes may have missed some. A VM does not pass on changes from before its first listing, as it knows no removals of then. VMs that the service does not answer are passed over as readers.

--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -64,26 +64,37 @@
   const mirror = createMirror({
     ...host,
     feed: host.keyValue,
-    isReader: (now) =>
-      now - startedAt >= MIN_READER_UPTIME_MS &&
-      rankByRendezvous('readers', members.getServing(now)).slice(0, READER_COUNT).includes(address),
+    isReader: (now) => now - startedAt >= MIN_READER_UPTIME_MS && isReader(now),
     broadcast: (batch) => broadcaster.broadcast({ kind: 'news', ...batch }),
     requestSnapshot: () => broadcaster.broadcastNearby({ kind: 'newsWanted' }),
+    requestChanges,
     onChange: applyChange,
   });
   const members = createMembers(
     {
       ...host,
-      // The registry is read from the mirror, without a call to the key-value service.
-      keyValue: { ...host.keyValue, range: async ({ key }) => readRange(mirror, key) },
+      keyValue: {
+        ...host.keyValue,
+        // The registry is read from the mirror, without a call to the key-value service.
+        range: async ({ key }) => readRange(mirror, key),
+        keepLeaseAlive: async (lease) => {
+          const renewed = await host.keyValue.keepLeaseAlive(lease);
+          mirror.recordCall(renewed.ok ? undefined : renewed.error.kind);
+          return renewed;
+        },
+      },
       tryGetVmList: async () => undefined,
       getHeartbeatFields: (now) => ({
         tableRevision: manifest?.version ?? 0,
         newestRow: mirror.getRevision(),
         confirmedAgeMs: now - mirror.getConfirmedAt(),
         inFlight: gateway.getInFlight(),
+        isServiceLost: mirror.isServiceReachable() ? undefined : true,
       }),
-      onHeartbeat: (now) => metrics.membersHeard.set(members.getServing(now).length),
+      onHeartbeat: (now, member) => {
+        metrics.membersHeard.set(members.getServing(now).length);
+        mirror.compareRevision(now, member.newestRow);
+      },
     },
     {
       address,
@@ -240,6 +251,38 @@
     metrics,
   });
 
+  /**
+   * Returns whether this VM reads the key-value service on behalf of the others. VMs that the
+   * service does not answer are passed over, unless it answers none.
+   */
+  function isReader(now: number): boolean {
+    const lostVms = new Set(
+      members
+        .getMembers()
+        .filter((member) => member.isServiceLost)
+        .map((member) => member.address),
+    );
+    if (!mirror.isServiceReachable()) {
+      lostVms.add(address);
+    }
+    const serving = members.getServing(now);
+    const reachable = serving.filter((vm) => !lostVms.has(vm));
+    const candidates = reachable.length > 0 ? reachable : serving;
+    return rankByRendezvous('readers', candidates).slice(0, READER_COUNT).includes(address);
+  }
+
+  /** Requests changes from a random VM whose mirror is newer, if possible of this data centre. */
+  function requestChanges(now: number, afterRevision: number, ownRevision: number): boolean {
+    const newer = members
+      .getMembers()
+      .filter((member) => member.newestRow > ownRevision)
+      .filter((member) => members.hasRecentHeartbeat(now, member.address));
+    const nearby = newer.filter((member) => member.dataCentre === options.dataCentre);
+    const candidates = nearby.length > 0 ? nearby : newer;
+    const chosen = candidates[Math.floor(host.random() * candidates.length)];
+    return chosen !== undefined && host.send(chosen.address, { kind: 'newsWanted', afterRevision });
+  }
+
   function getVersion(key: string): number {
     return versions.get(key) ?? 0;
   }
@@ -302,10 +345,11 @@
     match(message)
       .with({ kind: 'heartbeat' }, (heartbeat) => members.receive(from, heartbeat))
       .with({ kind: 'news' }, (batch) => mirror.applyBatch(batch))
-      .with({ kind: 'newsWanted' }, () => {
-        const snapshot = mirror.getSnapshot();
-        if (snapshot) {
-          host.send(from, { kind: 'news', ...snapshot });
+      .with({ kind: 'newsWanted' }, ({ afterRevision }) => {
+        const batch =
+          afterRevision === undefined ? mirror.getSnapshot() : mirror.tryGetChanges(afterRevision);
+        if (batch) {
+          host.send(from, { kind: 'news', ...batch });
         }
       })
       .with({ kind: 'forward' }, (forwarded) => {
--- a/src/members/Member.ts
+++ b/src/members/Member.ts
@@ -12,6 +12,8 @@
   /** Age of the VM's last confirmed data, in milliseconds; undefined if it has none. */
   confirmedAgeMs: number | undefined;
   inFlight: number;
+  /** Whether the key-value service does not answer the VM. */
+  isServiceLost: boolean;
   /** Addresses of the VMs from which the other VM had received a recent heartbeat. */
   heard: ReadonlySet<string>;
 }
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -38,7 +38,10 @@
   /** Returns the heartbeat fields that other controllers provide. */
   getHeartbeatFields(
     now: number,
-  ): Pick<Heartbeat, 'tableRevision' | 'newestRow' | 'confirmedAgeMs' | 'inFlight'>;
+  ): Pick<
+    Heartbeat,
+    'tableRevision' | 'newestRow' | 'confirmedAgeMs' | 'inFlight' | 'isServiceLost'
+  >;
   onHeartbeat(now: number, member: Member): void;
 }
 
@@ -242,6 +245,7 @@
       newestRow: message.newestRow,
       confirmedAgeMs: message.confirmedAgeMs,
       inFlight: message.inFlight,
+      isServiceLost: message.isServiceLost === true,
       heard: new Set(about.heard),
     };
     members.set(from, member);
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -86,6 +86,8 @@
      */
     confirmedAgeMs: z.number().optional(),
     inFlight: z.number(),
+    /** Set if the key-value service does not answer the sender. */
+    isServiceLost: z.boolean().optional(),
     /** Whether the sender has received a heartbeat from the receiver recently. */
     hearsYou: z.boolean().optional(),
   }),
@@ -175,8 +177,11 @@
     ageMs: z.number(),
     changes: z.array(Change),
   }),
-  /** Requests a snapshot of the receiver's mirror of the key-value service. */
-  z.object({ kind: z.literal('newsWanted') }),
+  /**
+   * Requests the changes after a revision from the receiver's mirror of the key-value service, or a
+   * snapshot.
+   */
+  z.object({ kind: z.literal('newsWanted'), afterRevision: z.number().optional() }),
   z.object({ kind: z.literal('engineState'), ...EngineState.shape }),
   /**
    * Announces that the sender now owns an engine. A VM that owned it under a lower fencing number
--- a/src/mirror/createMirror.ts
+++ b/src/mirror/createMirror.ts
@@ -17,6 +17,15 @@
 const SELF_READ_AFTER_MS = 1000;
 /** Reads of changes may miss some without an error; a periodic listing finds them. */
 const RELIST_AFTER_MS = 5000;
+/** A VM that is behind another one for this long requests the changes that it lacks. */
+const REPAIR_AFTER_MS = 400;
+const REPAIR_RETRY_MS = 300;
+/**
+ * A repair starts from the revision of this time ago: a read of changes may have missed some, which
+ * the next listing of a reader has found since then.
+ */
+const REPAIR_OVERLAP_MS = RELIST_AFTER_MS + 3000;
+const REVISION_SAMPLE_MS = 1000;
 /** Removed keys that are kept as tombstones, so that an older batch does not restore them. */
 const MAX_TOMBSTONES = 4096;
 
@@ -28,6 +37,11 @@
   broadcast(batch: ChangeBatch): void;
   /** Requests a snapshot of the mirror from other VMs. */
   requestSnapshot(): void;
+  /**
+   * Requests the changes after a revision from a VM whose mirror is newer than `ownRevision`.
+   * Returns false if there is none.
+   */
+  requestChanges(now: number, afterRevision: number, ownRevision: number): boolean;
   onChange(now: number, change: Change): void;
   log: Log;
 }
@@ -45,6 +59,14 @@
   let isServiceDown = false;
   let isListingNeeded = true;
   let gapSince: number | undefined;
+  let isGapRequested = false;
+  /** Revision that another VM has reported and this one lacks, and the time of the first report. */
+  let behind: { revision: number; since: number } | undefined;
+  let repairRequestedAt = -Infinity;
+  /** Removals up to this revision may be unknown, so that changes before it can't be passed on. */
+  let historyStart = 0;
+  /** Past revisions of the mirror, oldest first; only the first one may be older than the overlap. */
+  let revisionSamples: { at: number; revision: number }[] = [];
   let isStopped = false;
 
   function start(): void {
@@ -68,7 +90,7 @@
     if (isListingNeeded || (isReader && now - listedAt > RELIST_AFTER_MS)) {
       return (await listAll()) ? READER_PAUSE_MS : FAILURE_PAUSE_MS;
     }
-    if (!isReader && gapSince === undefined && now - confirmedAt < SELF_READ_AFTER_MS) {
+    if (!isReader && !isGapOverdue(now) && now - confirmedAt < SELF_READ_AFTER_MS) {
       return CHECK_PAUSE_MS;
     }
     return follow(isReader ? FOLLOW_WAIT_MS : 0);
@@ -119,15 +141,13 @@
   /** Applies changes read from the service; a reader broadcasts those that were new. */
   function applyChanges(changes: Change[], confirmedRevision: number): void {
     const now = host.now();
-    if (isServiceDown) {
-      isServiceDown = false;
-      host.log('storeRegained', { revision: confirmedRevision });
-    }
+    recordCall(undefined);
     confirmedAt = now;
     closeGap(now, confirmedRevision);
     const fromRevision = revision;
     const appliedChanges = changes.filter((change) => applyChange(now, change));
     revision = Math.max(revision, confirmedRevision);
+    recordRevision(now);
     if (host.isReader(now)) {
       host.broadcast({ fromRevision, revision, ageMs: 0, changes: appliedChanges });
     }
@@ -152,12 +172,13 @@
     const tombstones = [...entries.values()].filter((entry) => entry.value === undefined);
     if (tombstones.length > MAX_TOMBSTONES) {
       entries.delete(tombstones[0].key);
+      historyStart = Math.max(historyStart, tombstones[0].revision);
     }
   }
 
   /**
    * Applies a batch from another VM. Ignores a batch older than the mirror; after a gap between the
-   * mirror and the batch, reads the service instead.
+   * mirror and the batch, requests the missing changes from another VM or reads the service.
    */
   function applyBatch(batch: ChangeBatch): void {
     const now = host.now();
@@ -170,6 +191,7 @@
     }
     batch.changes.forEach((change) => applyChange(now, change));
     revision = batch.revision;
+    recordRevision(now);
     closeGap(now, revision);
     confirmedAt = Math.max(confirmedAt, now - batch.ageMs);
     isListingNeeded = false;
@@ -180,12 +202,70 @@
       gapSince = now;
       host.log('changesMissed', { revision, nextRevision });
     }
+    isGapRequested = requestRepair(now) || isGapRequested;
+  }
+
+  /** Returns whether missed changes have to be read from the service, as no VM has sent them. */
+  function isGapOverdue(now: number): boolean {
+    return gapSince !== undefined && (!isGapRequested || now - gapSince >= REPAIR_AFTER_MS);
+  }
+
+  /**
+   * Compares the mirror with the newest revision that another VM has reported, and requests the
+   * missing changes if they do not arrive by themselves.
+   */
+  function compareRevision(now: number, newestRevision: number): void {
+    if (behind !== undefined && behind.revision > revision) {
+      if (now - behind.since >= REPAIR_AFTER_MS) {
+        requestRepair(now);
+      }
+      return;
+    }
+    behind = newestRevision > revision ? { revision: newestRevision, since: now } : undefined;
+  }
+
+  /** Requests the missing changes from another VM; returns whether it has sent a request. */
+  function requestRepair(now: number): boolean {
+    if (revision === 0 || now - repairRequestedAt < REPAIR_RETRY_MS) {
+      return false;
+    }
+    repairRequestedAt = now;
+    return host.requestChanges(now, revisionSamples[0].revision, revision);
+  }
+
+  function recordRevision(now: number): void {
+    if (historyStart === 0) {
+      historyStart = revision;
+    }
+    const last = revisionSamples.at(-1);
+    if (last === undefined || now - last.at >= REVISION_SAMPLE_MS) {
+      revisionSamples.push({ at: now, revision });
+    }
+    const isSecondOldEnough =
+      revisionSamples.length > 1 && now - revisionSamples[1].at >= REPAIR_OVERLAP_MS;
+    if (isSecondOldEnough) {
+      revisionSamples = revisionSamples.slice(1);
+    }
+  }
+
+  /**
+   * Returns the changes after a revision, for a VM that has missed some; undefined if there are none
+   * or if this mirror does not know all removals since then.
+   */
+  function tryGetChanges(afterRevision: number): ChangeBatch | undefined {
+    if (afterRevision < historyStart || afterRevision >= revision) {
+      return undefined;
+    }
+    const changes = [...entries.values()].filter((entry) => entry.revision > afterRevision);
+    const ageMs = Math.max(0, host.now() - confirmedAt);
+    return { fromRevision: afterRevision, revision, ageMs, changes };
   }
 
   function closeGap(now: number, repairedRevision: number): void {
     if (gapSince !== undefined) {
       const openMs = Math.round(now - gapSince);
       gapSince = undefined;
+      isGapRequested = false;
       host.log('changesRepaired', { revision: repairedRevision, openMs });
     }
   }
@@ -199,15 +279,23 @@
     return { fromRevision: 0, revision, ageMs, changes: [...entries.values()] };
   }
 
+  /** Records the outcome of a call to the service, of any kind; `failure` is why it failed. */
+  function recordCall(failure: string | undefined): void {
+    if (failure === undefined && isServiceDown) {
+      isServiceDown = false;
+      host.log('storeRegained', { revision });
+    }
+    if (failure !== undefined && !isServiceDown) {
+      isServiceDown = true;
+      const confirmedAgeMs = Math.round(host.now() - confirmedAt);
+      host.log('storeLost', { reason: failure, revision, confirmedAgeMs });
+    }
+  }
+
   function recordFailure(reason: string): void {
     failedAt = host.now();
-    if (!isServiceDown && reason !== 'compacted') {
-      isServiceDown = true;
-      host.log('storeLost', {
-        reason,
-        revision,
-        confirmedAgeMs: Math.round(failedAt - confirmedAt),
-      });
+    if (reason !== 'compacted') {
+      recordCall(reason);
     }
   }
 
@@ -222,7 +310,10 @@
       isStopped = true;
     },
     applyBatch,
+    compareRevision,
+    recordCall,
     getSnapshot,
+    tryGetChanges,
     tryGet,
     getAll: (prefix: string) =>
       [...entries.values()].filter(
@@ -230,6 +321,8 @@
       ),
     getRevision: () => revision,
     getConfirmedAt: () => confirmedAt,
+    /** Returns whether the service answers this VM's calls. */
+    isServiceReachable: () => !isServiceDown,
     /** Returns the time of the last failed call to the service, or -Infinity. */
     getFailedAt: () => failedAt,
   };
--- a/test/routed/mirror.test.ts
+++ b/test/routed/mirror.test.ts
@@ -71,6 +71,39 @@
     expect(fixture.mirror.tryGet('b')?.value).to.equal('1');
   });
 
+  it('requests the changes that a VM lacks, and keeps changes that an earlier read missed', async () => {
+    const fixture = createTestMirror({ isReader: false });
+    await fixture.clock.advance(9500);
+    fixture.options.isDown = true;
+    const revision = fixture.mirror.getRevision();
+    fixture.mirror.compareRevision(fixture.clock.now(), revision + 3);
+    await fixture.clock.advance(450);
+    fixture.mirror.compareRevision(fixture.clock.now(), revision);
+    expect(fixture.requestedRevisions).to.have.length(1);
+    const [fromRevision] = fixture.requestedRevisions;
+    fixture.mirror.applyBatch({
+      fromRevision,
+      revision: revision + 3,
+      ageMs: 10,
+      changes: [{ key: 'missed', revision: revision - 1, value: '1' }],
+    });
+    expect(fixture.mirror.tryGet('missed')?.value).to.equal('1');
+    expect(fixture.mirror.getRevision()).to.equal(revision + 3);
+  });
+
+  it('does not pass changes on from before its first listing, as it knows no removals of then', async () => {
+    const fixture = createTestMirror({ isReader: false });
+    fixture.write('a', '1');
+    await fixture.clock.advance(500);
+    const listedRevision = fixture.mirror.getRevision();
+    fixture.write('b', '1');
+    fixture.remove('a');
+    await fixture.clock.advance(2000);
+    expect(fixture.mirror.tryGetChanges(listedRevision - 1)).to.equal(undefined);
+    const keys = fixture.mirror.tryGetChanges(listedRevision)!.changes.map(({ key }) => key);
+    expect(keys).to.deep.equal(['b', 'a']);
+  });
+
   it('requests a snapshot if the service is down at the start, and keeps its entries', async () => {
     const fixture = createTestMirror({ isReader: true, isDown: true });
     await fixture.clock.advance(500);
@@ -112,6 +145,7 @@
   let oldestRevision = 0;
   let callCount = 0;
   let snapshotRequestCount = 0;
+  const requestedRevisions: number[] = [];
 
   const getRevision = () => history.at(-1)!.revision;
   const addChange = (key: string, value: string | undefined) =>
@@ -151,6 +185,10 @@
     requestSnapshot: () => {
       snapshotRequestCount += 1;
     },
+    requestChanges: (_, afterRevision) => {
+      requestedRevisions.push(afterRevision);
+      return false;
+    },
     onChange: () => {},
     log: () => {},
   });
@@ -158,6 +196,8 @@
   return {
     clock,
     mirror,
+    options,
+    requestedRevisions,
     write: (key: string, value: string) => addChange(key, value),
     remove: (key: string) => addChange(key, undefined),
     compactHistory: (change: () => void) => {
