Relays are spread over the VMs, and VMs with fast links are preferred

Callers saw (CONFIG, DRAIN): all VMs of two data centres routed by a manifest, or to an upstream, that had been out of force for 4 to 11 s. Cause: one VM of a data centre, its hub, added up the counts there and forwarded every message of all other data centres; nothing related that work to its link. Each sending data centre now has a relay of its own in each other one, chosen by rendezvous hashing among the VMs with fast links, as are the hub and the readers; the bandwidth comes with the heartbeat. If a relay cannot be reached, the next one takes its place.

--- a/src/broadcast/createBroadcaster.ts
+++ b/src/broadcast/createBroadcaster.ts
@@ -1,7 +1,7 @@
 import type Member from '../members/Member';
 import type Members from '../members/Members';
 import Message from '../mesh/Message';
-import rankByRendezvous from '../shared/rankByRendezvous';
+import rankRelays from './rankRelays';
 
 /** With this many other VMs, broadcasts are relayed by one VM in each data centre. */
 const MIN_RELAYED_MEMBERS = 24;
@@ -14,24 +14,29 @@
 
 /**
  * Sends messages to all entry VMs: directly if they are few, otherwise by way of one VM in each
- * other data centre (its hub), which forwards the message there. This limits the traffic between
- * data centres and the work of the sender.
+ * other data centre, which forwards the message there. This limits the traffic between data centres
+ * and the work of the sender. Each data centre that sends has a relay of its own in each other one,
+ * and VMs with fast links are preferred, so that the forwarding does not fill the link of one VM.
  */
 export default function createBroadcaster(
   host: BroadcasterHost,
-  options: { address: string; dataCentre: string },
+  options: { address: string; dataCentre: string; linkMbps?: number },
 ) {
-  /** Returns whether messages are relayed by hubs. */
+  /** Returns whether messages are relayed. */
   function isRelayed(): boolean {
     return host.members.getMembers().length >= MIN_RELAYED_MEMBERS;
   }
 
-  /** Returns the hub of this VM's data centre, or this VM if no VM is serving there. */
+  /**
+   * Returns the VM that adds up the counts of this data centre, or this VM if no VM is serving
+   * there.
+   */
   function getHub(now: number): string {
     const serving = new Set(host.members.getServing(now));
-    return (
-      tryGetHub(getOwnDataCentreMembers(), serving, serving.has(options.address)) ?? options.address
-    );
+    const candidates = getOwnDataCentreMembers().filter(({ address }) => serving.has(address));
+    const { address, linkMbps = 0 } = options;
+    const self = serving.has(address) ? [{ address, linkMbps }] : [];
+    return rankRelays(options.dataCentre, [...candidates, ...self])[0] ?? address;
   }
 
   function broadcast(message: Message): void {
@@ -45,11 +50,11 @@
     const forward: Message = { kind: 'forward', message };
     new Set(members.map(({ dataCentre }) => dataCentre)).forEach((dataCentre) => {
       if (dataCentre !== options.dataCentre) {
-        const remoteMembers = members.filter((member) => member.dataCentre === dataCentre);
-        const hub = tryGetHub(remoteMembers, serving, false);
-        if (hub !== undefined) {
-          host.send(hub, forward);
-        }
+        const candidates = members.filter(
+          (member) => member.dataCentre === dataCentre && serving.has(member.address),
+        );
+        // The link to a relay may be down; the next one then takes its place.
+        rankRelays(options.dataCentre, candidates).find((relay) => host.send(relay, forward));
       }
     });
   }
@@ -84,16 +89,5 @@
     return host.members.getMembers().filter((member) => member.dataCentre === options.dataCentre);
   }
 
-  function tryGetHub(
-    members: readonly Member[],
-    serving: ReadonlySet<string>,
-    includesSelf: boolean,
-  ): string | undefined {
-    const candidates = members
-      .map(({ address }) => address)
-      .filter((address) => serving.has(address));
-    return rankByRendezvous('hub', includesSelf ? [...candidates, options.address] : candidates)[0];
-  }
-
   return { isRelayed, getHub, broadcast, broadcastNearby, receiveForward };
 }
--- a/src/entry/RoutedEntryOptions.ts
+++ b/src/entry/RoutedEntryOptions.ts
@@ -5,6 +5,8 @@
   /** `host:port` at which callers reach this VM. */
   callerAddress: string;
   dataCentre: string;
+  /** Bandwidth of this VM's network link in Mbit/s; undefined if unknown. */
+  linkMbps?: number;
   /**
    * Addresses (`ip:port`, as in `address`) of some other entry VMs, to find a running one while the
    * key-value service can't be read.
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -20,12 +20,12 @@
 import readRange from '../mirror/readRange';
 import runPeriodically from '../shared/runPeriodically';
 import watchLoopDelay from '../shared/watchLoopDelay';
-import rankByRendezvous from '../shared/rankByRendezvous';
 import createUpstreamHealth from '../upstream/createUpstreamHealth';
 import createUpstreams from '../upstream/createUpstreams';
 import createPrefillScheduler from '../prefill/createPrefillScheduler';
 import createPrefillClient from '../prefill/createPrefillClient';
 import type PrefillState from '../prefill/PrefillState';
+import rankRelays from '../broadcast/rankRelays';
 import createBroadcaster from '../broadcast/createBroadcaster';
 import createUsage from '../usage/createUsage';
 import getUsageSource from '../usage/getUsageSource';
@@ -101,6 +101,7 @@
       dataCentre: options.dataCentre,
       callerAddress: options.callerAddress,
       incarnation,
+      linkMbps: options.linkMbps,
       seeds: options.seeds,
       leaseSeconds: options.leaseSeconds,
     },
@@ -265,10 +266,14 @@
     if (!mirror.isServiceReachable()) {
       lostVms.add(address);
     }
-    const serving = members.getServing(now);
-    const reachable = serving.filter((vm) => !lostVms.has(vm));
-    const candidates = reachable.length > 0 ? reachable : serving;
-    return rankByRendezvous('readers', candidates).slice(0, READER_COUNT).includes(address);
+    const serving = new Set(members.getServing(now));
+    const { linkMbps = 0 } = options;
+    const vms = [...members.getMembers(), { address, linkMbps }].filter((vm) =>
+      serving.has(vm.address),
+    );
+    const reachable = vms.filter((vm) => !lostVms.has(vm.address));
+    const candidates = reachable.length > 0 ? reachable : vms;
+    return rankRelays('readers', candidates).slice(0, READER_COUNT).includes(address);
   }
 
   /** Requests changes from a random VM whose mirror is newer, if possible of this data centre. */
--- a/src/members/Member.ts
+++ b/src/members/Member.ts
@@ -5,6 +5,8 @@
   state: 'live' | 'leaving';
   dataCentre: string;
   callerAddress: string;
+  /** Bandwidth of the VM's network link in Mbit/s; 0 if unknown. */
+  linkMbps: number;
   /** Arrival time of the last heartbeat on this VM's clock, in milliseconds. */
   lastHeartbeatAt: number;
   tableRevision: number;
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -62,6 +62,8 @@
     dataCentre: string;
     callerAddress: string;
     incarnation: string;
+    /** Bandwidth of this VM's network link in Mbit/s; undefined if unknown. */
+    linkMbps?: number;
     seeds: string[];
     leaseSeconds: number;
   },
@@ -113,10 +115,10 @@
     host.setPeers(addresses);
     const shortHeartbeat: Heartbeat = { kind: 'heartbeat', state, ...host.getHeartbeatFields(now) };
     const reportedAddresses = getReportedAddresses(now);
-    const { incarnation, dataCentre, callerAddress } = options;
+    const { incarnation, dataCentre, callerAddress, linkMbps } = options;
     const fullHeartbeat = {
       ...shortHeartbeat,
-      about: { incarnation, dataCentre, callerAddress, heard: reportedAddresses },
+      about: { incarnation, dataCentre, callerAddress, linkMbps, heard: reportedAddresses },
     };
     heartbeatCount += 1;
     const isLarge = members.size > MAX_FULL_RATE_MEMBERS;
@@ -240,6 +242,7 @@
       state: message.state,
       dataCentre: about.dataCentre,
       callerAddress: about.callerAddress,
+      linkMbps: about.linkMbps ?? 0,
       lastHeartbeatAt: now,
       tableRevision: message.tableRevision,
       newestRow: message.newestRow,
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -72,6 +72,8 @@
         dataCentre: z.string(),
         /** `ip:port` at which callers connect to the sender. */
         callerAddress: z.string(),
+        /** Bandwidth of the sender's network link, if known. */
+        linkMbps: z.number().optional(),
         /** Addresses of the VMs from which the sender has received a heartbeat recently. */
         heard: z.array(z.string()),
       })
--- a/test/routed/usage.test.ts
+++ b/test/routed/usage.test.ts
@@ -106,7 +106,9 @@
     const getMembers = () =>
       addresses
         .filter((other) => other !== address)
-        .map((other) => ({ address: other, dataCentre: getDataCentre(other) }) as Member);
+        .map(
+          (other) => ({ address: other, dataCentre: getDataCentre(other), linkMbps: 0 }) as Member,
+        );
     const broadcaster = createBroadcaster(
       { now: () => now, send, members: { getMembers, getServing: getServingAddresses } },
       { address, dataCentre },
