A VM without a copy of the service sends heartbeats that the others accept

Callers saw: a VM that started while the service refused it did not become ready. The age is now left out, as the schema provides.

--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -87,7 +87,7 @@
       getHeartbeatFields: (now) => ({
         tableRevision: manifest?.version ?? 0,
         newestRow: mirror.getRevision(),
-        confirmedAgeMs: now - mirror.getConfirmedAt(),
+        confirmedAgeMs: mirror.getRevision() > 0 ? now - mirror.getConfirmedAt() : undefined,
         inFlight: gateway.getInFlight(),
         isServiceLost: mirror.isServiceReachable() ? undefined : true,
       }),
--- a/test/fleet/staleState.test.ts
+++ b/test/fleet/staleState.test.ts
@@ -25,6 +25,15 @@
     expect(fleet.getDelays(3, since).get(refused)).to.be.lessThan(CHANGE_BOUND_MS);
   });
 
+  it('reaches a VM that the service refuses from its start, over links that stay up', async () => {
+    const fleet = createTestFleet({ vms: VM_COUNT });
+    const refused = fleet.addresses.at(-1)!;
+    fleet.setFault(refused, 'refused');
+    await fleet.start();
+    expect(fleet.getDelays(1, fleet.clock.now()).get(refused)).to.be.lessThan(0);
+    expect(fleet.refusedMessages).to.deep.equal([]);
+  });
+
   it('is not late anywhere while the service refuses a third of the VMs', async () => {
     const fleet = createTestFleet({ vms: VM_COUNT });
     await fleet.start();
