A VM that starts late gets full heartbeats until it reports that it hears the sender

Cause: a VM sends full heartbeats to a VM that it does not hear, short ones else; a VM that it hears but that has no full heartbeat of it ignores the short ones for up to 9 s, takes it for silent and replaces the link, and is not counted as receiving either. From 49 VMs on, a full heartbeat comes only every 20th time. The receiver's report whether it hears the sender now decides.

--- a/src/members/Member.ts
+++ b/src/members/Member.ts
@@ -18,6 +18,8 @@
   isServiceLost: boolean;
   /** Addresses of the VMs from which the other VM had received a recent heartbeat. */
   heard: ReadonlySet<string>;
+  /** Whether the VM has reported a recent heartbeat from this one. */
+  receivesHeartbeats: boolean;
 }
 
 export default Member;
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -127,10 +127,12 @@
       (!isLarge && reportedAddresses.join() !== lastReportedAddresses);
     lastReportedAddresses = reportedAddresses.join();
     addresses.forEach((address) => {
-      const isReceiverSilent = !hasRecentHeartbeat(now, address);
+      // A VM that has no full heartbeat of this one ignores short ones.
+      const isFullNeeded =
+        !hasRecentHeartbeat(now, address) || !members.get(address)?.receivesHeartbeats;
       const hasReceiverHeartbeat = reportedAddresses.includes(address);
       host.send(address, {
-        ...(isFullDue || isReceiverSilent ? fullHeartbeat : shortHeartbeat),
+        ...(isFullDue || isFullNeeded ? fullHeartbeat : shortHeartbeat),
         hearsYou: hasReceiverHeartbeat,
       });
     });
@@ -236,6 +238,7 @@
     if (!about) {
       return;
     }
+    const heard = new Set(about.heard);
     const member: Member = {
       address: from,
       incarnation: about.incarnation,
@@ -249,18 +252,19 @@
       confirmedAgeMs: message.confirmedAgeMs,
       inFlight: message.inFlight,
       isServiceLost: message.isServiceLost === true,
-      heard: new Set(about.heard),
+      heard,
+      receivesHeartbeats: message.hearsYou ?? heard.has(options.address),
     };
     members.set(from, member);
-    redialIfHeartbeatsLost(now, member, message.hearsYou ?? member.heard.has(options.address));
+    redialIfHeartbeatsLost(now, member);
     host.onHeartbeat(now, member);
   }
 
   /** Replaces the link to a VM that reports no recent heartbeat from this VM. */
-  function redialIfHeartbeatsLost(now: number, member: Member, receivesHeartbeats: boolean): void {
+  function redialIfHeartbeatsLost(now: number, member: Member): void {
     const lastReceivedAt = redialledAt.get(member.address) ?? now - REDIAL_AFTER_SILENCE_MS / 2;
     redialledAt.set(member.address, lastReceivedAt);
-    if (receivesHeartbeats) {
+    if (member.receivesHeartbeats) {
       redialledAt.set(member.address, now);
     } else if (now - lastReceivedAt > REDIAL_AFTER_SILENCE_MS * getIntervalFactor()) {
       redialledAt.set(member.address, now);
--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -232,10 +232,11 @@
     );
   }
 
-  async function start(): Promise<void> {
+  /** Starts VMs, all by default, and waits until they know each other. */
+  async function start(started: readonly string[] = addresses): Promise<void> {
     setManifest(1);
     engines.forEach((engine) => put(`${UPSTREAM_PREFIX}${engine.id}`, engine));
-    vms.forEach((vm) => vm.start());
+    started.forEach((address) => vms.get(address)!.start());
     expireLeases();
     await clock.advance(6000);
   }
