A response without end is given up before it fills the memory

The head of a response may now take 128 kB, interim responses included; a plain body beyond 1 MB is forwarded as it comes instead of being held, so that the caller sets the pace; a failure's body or an event beyond it is given up. A plain response that broke after it was begun is not retried.

--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -8,6 +8,11 @@
 const MIN_SUCCESS_STATUS = 200;
 const MIN_REDIRECT_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
+/**
+ * A larger body is forwarded while it arrives, so that it does not fill the memory; an event or the
+ * body of a failure that is larger has no end.
+ */
+const MAX_BUFFERED_BYTES = 1024 * 1024;
 
 interface AttemptHost extends Clock {
   /** Sends the request; returns undefined if no connection is available. */
@@ -30,8 +35,12 @@
   silenceMs: number,
 ): Promise<AttemptOutcome> {
   return new Promise((resolve) => {
-    const splitter = request.route.isResumable ? createEventSplitter() : undefined;
-    const bodyChunks: Buffer[] = [];
+    const splitter =
+      request.route.kind === 'stream' && request.route.isResumable
+        ? createEventSplitter()
+        : undefined;
+    let bodyChunks: Buffer[] = [];
+    let bodyBytes = 0;
     let head: ResponseHead | undefined;
     let isStreaming = false;
     let isEnded = false;
@@ -83,6 +92,21 @@
         }
       });
     };
+    const bufferBody = (responseHead: ResponseHead, chunk: Buffer) => {
+      bodyChunks.push(chunk);
+      bodyBytes += chunk.length;
+      if (bodyBytes <= MAX_BUFFERED_BYTES) {
+        return;
+      }
+      if (!isSuccess(responseHead.status) || request.isHeadWritten) {
+        abortWith({ kind: 'lost', reason: 'body too large' });
+        return;
+      }
+      isStreaming = true;
+      writeHead(responseHead);
+      bodyChunks.forEach(forward);
+      bodyChunks = [];
+    };
     const finishResponse = (responseHead: ResponseHead): AttemptOutcome => {
       if (isStreaming) {
         forward(splitter?.getRemainder() ?? Buffer.alloc(0));
@@ -109,10 +133,7 @@
           return;
         }
         head = responseHead;
-        isStreaming =
-          request.route.kind === 'stream' &&
-          status >= MIN_SUCCESS_STATUS &&
-          status < MIN_REDIRECT_STATUS;
+        isStreaming = request.route.kind === 'stream' && isSuccess(status);
         restartSilenceTimer();
       },
       onData: (chunk) => {
@@ -126,12 +147,15 @@
         recordBytes(request, now);
         restartSilenceTimer();
         if (!isStreaming) {
-          bodyChunks.push(chunk);
+          bufferBody(head, chunk);
           return;
         }
         writeHead(head);
         if (splitter) {
           forwardEvents(chunk);
+          if (splitter.getRemainder().length > MAX_BUFFERED_BYTES) {
+            abortWith({ kind: 'broken', reason: 'event too large' });
+          }
         } else {
           forward(chunk);
         }
@@ -168,6 +192,10 @@
   });
 }
 
+function isSuccess(status: number): boolean {
+  return status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
+}
+
 function recordBytes(request: ActiveRequest, now: number): void {
   const pauseMs = now - (request.lastByteAt ?? now);
   Object.assign(request, {
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -136,7 +136,9 @@
       })
       .with({ kind: P.union('lost', 'broken', 'silent') }, (failure) => {
         excludedUpstreams.add(placement.upstream.id);
-        return isRetryable && hasAttemptLeft() && tryTakeRetry() ? 'retry' : fail(failure.kind);
+        const canContinue =
+          isRetryable && (!request.isHeadWritten || request.route.kind === 'stream');
+        return canContinue && hasAttemptLeft() && tryTakeRetry() ? 'retry' : fail(failure.kind);
       })
       .with({ kind: 'deadline' }, () => fail('deadline'))
       .exhaustive();
--- a/src/upstream/createConnections.ts
+++ b/src/upstream/createConnections.ts
@@ -9,6 +9,9 @@
 const IDLE_TIMEOUT_MS = 4000;
 const MAX_HEADER_BYTES = 64 * 1024;
 
+/** Bytes up to the end of the final head, interim responses included. */
+const MAX_READ_HEAD_BYTES = 2 * MAX_HEADER_BYTES;
+
 interface RequestMessage {
   method: string;
   path: string;
@@ -27,6 +30,8 @@
   socket: Socket | undefined;
   /** Whether the peer reset it; a response delimited only by the close is then incomplete. */
   isReset: boolean;
+  /** Value of `socket.bytesRead` at which a head that has not ended is given up. */
+  headEndsBefore: number;
 }
 
 interface ConnectionGroup {
@@ -72,6 +77,7 @@
           connection.socket?.on('error', () => {
             connection.isReset = true;
           });
+          connection.socket?.on('readable', () => endIfHeadTooLarge(connection));
           callback(...result);
         }),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -80,7 +86,12 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       strictContentLength: false,
     });
-    const connection: Connection = { client, socket: undefined, isReset: false };
+    const connection: Connection = {
+      client,
+      socket: undefined,
+      isReset: false,
+      headEndsBefore: Infinity,
+    };
     client.on('disconnect', () => dropConnection(connection, group));
     return connection;
   }
@@ -115,6 +126,7 @@
         callback();
       }
     };
+    connection.headEndsBefore = (connection.socket?.bytesRead ?? 0) + MAX_READ_HEAD_BYTES;
     client.dispatch(
       {
         method: message.method,
@@ -132,8 +144,11 @@
         onResponseStart: (_, status, headers) => {
           isFramed =
             headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-          if (!isEnded && status >= 200) {
-            handler.onHead(status, headers);
+          if (status >= 200) {
+            connection.headEndsBefore = Infinity;
+            if (!isEnded) {
+              handler.onHead(status, headers);
+            }
           }
         },
         onResponseData: (_, chunk) => {
@@ -179,6 +194,13 @@
   };
 }
 
+/** Ends a connection that delivers bytes without end before the final head of a response. */
+function endIfHeadTooLarge({ socket, headEndsBefore }: Connection): void {
+  if (socket && socket.bytesRead > headEndsBefore) {
+    socket.destroy(new Error('the head of a response has no end'));
+  }
+}
+
 /**
  * Returns whether a connection that has ended still has a peer address. If a reset directly follows
  * the last bytes, Node.js reports a normal end, but the socket has no peer any more. The address
--- /dev/null
+++ b/test/platform/endlessResponse.test.ts
@@ -0,0 +1,164 @@
+import net from 'node:net';
+import { expect } from 'chai';
+import type ActiveRequest from '../../src/gateway/ActiveRequest';
+import sendAttempt from '../../src/gateway/sendAttempt';
+import type Route from '../../src/manifest/Route';
+import type ResponseHandler from '../../src/upstream/ResponseHandler';
+import createVirtualClock from '../scenario/createVirtualClock';
+import createConnections from '../../src/upstream/createConnections';
+
+const REQUEST = { method: 'GET', path: '/a', headers: ['Host', 'h'], body: undefined };
+const CHUNK_BYTES = 16 * 1024;
+/** Well over what may be read before a response without end is given up. */
+const MAX_READ_BYTES = 8 * 1024 * 1024;
+const GIVE_UP_MS = 3000;
+const DEADLINE_MS = 2000;
+
+describe('a response without end', () => {
+  let servers: net.Server[] = [];
+
+  afterEach(() => {
+    servers.forEach((server) => server.close());
+    servers = [];
+  });
+
+  const heads: [string, string, string][] = [
+    ['bytes that are no response', '', 'x'],
+    ['a status line', 'HTTP/1.1 200 ', 'x'],
+    ['a header', 'HTTP/1.1 200 OK\r\nName: ', 'x'],
+    ['headers', 'HTTP/1.1 200 OK\r\n', 'Name: x\r\n'],
+    ['interim responses', '', 'HTTP/1.1 103 Early Hints\r\n\r\n'],
+  ];
+  heads.forEach(([name, start, repeated]) => {
+    it(`does not hold up its request or fill the memory: ${name} in the head`, async () => {
+      const { address, getWrittenBytes, closed } = await listen(start, repeated);
+      const reason = await new Promise((resolve, reject) => {
+        setTimeout(() => reject(new Error('no end')), GIVE_UP_MS).unref();
+        createConnections(() => {}).send(address, REQUEST, 4, {
+          onHead: () => {},
+          onData: () => {},
+          onEnd: () => resolve('end'),
+          onError: (error) => resolve(error.kind),
+        });
+      });
+      expect(reason).to.equal('lost');
+      await closed;
+      expect(getWrittenBytes()).to.be.lessThan(MAX_READ_BYTES);
+    });
+  });
+
+  it('does not fill the memory: a body is forwarded as it comes, and cut at the deadline', async () => {
+    const fixture = createTestAttempt({ kind: 'idempotent', isResumable: false });
+    fixture.receive(200, MAX_READ_BYTES);
+    expect(fixture.getForwardedBytes()).to.equal(MAX_READ_BYTES);
+    await fixture.clock.advance(DEADLINE_MS);
+    expect((await fixture.outcome).kind).to.equal('deadline');
+    expect(fixture.isAborted()).to.equal(true);
+  });
+
+  it('does not fill the memory: the body of a failure is given up', async () => {
+    const fixture = createTestAttempt({ kind: 'idempotent', isResumable: false });
+    fixture.receive(500, MAX_READ_BYTES);
+    expect((await fixture.outcome).kind).to.equal('lost');
+    expect(fixture.isAborted()).to.equal(true);
+    expect(fixture.getForwardedBytes()).to.equal(0);
+  });
+
+  it('does not fill the memory: an event of a resumable stream is given up', async () => {
+    const fixture = createTestAttempt({ kind: 'stream', isResumable: true });
+    fixture.receive(200, MAX_READ_BYTES);
+    expect((await fixture.outcome).kind).to.equal('broken');
+    expect(fixture.isAborted()).to.equal(true);
+    expect(fixture.getForwardedBytes()).to.equal(0);
+  });
+
+  /** Starts a server that responds with `start` and then `repeated` until its peer closes. */
+  async function listen(start: string, repeated: string) {
+    const chunk = Buffer.from(repeated.repeat(Math.ceil(CHUNK_BYTES / repeated.length)));
+    let writtenBytes = 0;
+    let setClosed = () => {};
+    const closed = new Promise<void>((resolve) => {
+      setClosed = resolve;
+    });
+    const server = net.createServer((socket) => {
+      const writeMore = () => {
+        while (!socket.destroyed) {
+          writtenBytes += chunk.length;
+          if (!socket.write(chunk)) {
+            return;
+          }
+        }
+      };
+      socket.on('error', () => {});
+      socket.on('close', () => setClosed());
+      socket.on('drain', writeMore);
+      socket.once('data', () => {
+        socket.write(start);
+        writeMore();
+      });
+    });
+    servers.push(server);
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', () => resolve());
+    });
+    const { port } = server.address() as net.AddressInfo;
+    return { address: `127.0.0.1:${port}`, getWrittenBytes: () => writtenBytes, closed };
+  }
+});
+
+/** Creates an attempt whose upstream sends what `receive` says. */
+function createTestAttempt(route: Pick<Route, 'kind' | 'isResumable'>) {
+  const clock = createVirtualClock();
+  let handler: ResponseHandler | undefined;
+  let forwardedBytes = 0;
+  let isAborted = false;
+  const request = {
+    route,
+    callerRequest: { id: '1' },
+    deadlineAt: clock.now() + DEADLINE_MS,
+    isHeadWritten: false,
+    longestPauseMs: 0,
+    abort: () => {},
+    response: {
+      writeHead: () => {},
+      write: (bytes: Buffer) => {
+        forwardedBytes += bytes.length;
+        return true;
+      },
+      end: () => {},
+      abort: () => {},
+      onDrain: () => {},
+    },
+  } as unknown as ActiveRequest;
+  const outcome = sendAttempt(
+    {
+      ...clock,
+      send: (_, responseHandler) => {
+        handler = responseHandler;
+        const abort = () => {
+          isAborted = true;
+        };
+        return { abort, pause: () => {}, resume: () => {} };
+      },
+      decodeHead: (status) => ({ status, headers: [], id: undefined, isNotRun: false }),
+      onFirstByte: () => {},
+    },
+    request,
+    Infinity,
+  );
+
+  function receive(status: number, bytes: number): void {
+    handler!.onHead(status, {});
+    for (let sent = 0; sent < bytes && !isAborted; sent += CHUNK_BYTES) {
+      handler!.onData(Buffer.alloc(CHUNK_BYTES, 'x'));
+    }
+  }
+
+  return {
+    clock,
+    outcome,
+    receive,
+    getForwardedBytes: () => forwardedBytes,
+    isAborted: () => isAborted,
+  };
+}
