--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -16,6 +16,7 @@
 import createCongestionLog from '../mesh/createCongestionLog';
 import type Message from '../mesh/Message';
 import createMetrics from '../metrics/createMetrics';
+import chooseReaders from '../mirror/chooseReaders';
 import createMirror from '../mirror/createMirror';
 import readRange from '../mirror/readRange';
 import runPeriodically from '../shared/runPeriodically';
@@ -25,7 +26,6 @@
 import createPrefillScheduler from '../prefill/createPrefillScheduler';
 import createPrefillClient from '../prefill/createPrefillClient';
 import type PrefillState from '../prefill/PrefillState';
-import rankRelays from '../broadcast/rankRelays';
 import createBroadcaster from '../broadcast/createBroadcaster';
 import createUsage from '../usage/createUsage';
 import getUsageSource from '../usage/getUsageSource';
@@ -34,8 +34,6 @@
 import type RoutedEntryHost from './RoutedEntryHost';
 import type RoutedEntryOptions from './RoutedEntryOptions';
 
-/** Number of VMs that read the key-value service for all; with two, losing one causes no gap. */
-const READER_COUNT = 2;
 /** A VM that has just started has received too few heartbeats to determine the readers. */
 const MIN_READER_UPTIME_MS = 2000;
 const USAGE_INTERVAL_MS = 250;
@@ -252,28 +250,13 @@
     metrics,
   });
 
-  /**
-   * Returns whether this VM reads the key-value service on behalf of the others. VMs that the
-   * service does not answer are passed over, unless it answers none.
-   */
+  /** Returns whether this VM reads the key-value service on behalf of the others. */
   function isReader(now: number): boolean {
-    const lostVms = new Set(
-      members
-        .getMembers()
-        .filter((member) => member.isServiceLost)
-        .map((member) => member.address),
-    );
-    if (!mirror.isServiceReachable()) {
-      lostVms.add(address);
-    }
+    const isServiceLost = !mirror.isServiceReachable();
+    const self = { address, linkMbps: options.linkMbps ?? 0, isServiceLost };
     const serving = new Set(members.getServing(now));
-    const { linkMbps = 0 } = options;
-    const vms = [...members.getMembers(), { address, linkMbps }].filter((vm) =>
-      serving.has(vm.address),
-    );
-    const reachable = vms.filter((vm) => !lostVms.has(vm.address));
-    const candidates = reachable.length > 0 ? reachable : vms;
-    return rankRelays('readers', candidates).slice(0, READER_COUNT).includes(address);
+    const vms = [...members.getMembers(), self].filter((vm) => serving.has(vm.address));
+    return chooseReaders(vms).includes(address);
   }
 
   /** Requests changes from a random VM whose mirror is newer, if possible of this data centre. */
--- a/src/mirror/createMirror.ts
+++ b/src/mirror/createMirror.ts
@@ -3,6 +3,7 @@
 import type ChangeFeed from '../keyValue/ChangeFeed';
 import type Clock from '../shared/Clock';
 import type ChangeBatch from './ChangeBatch';
+import createRepair from './createRepair';
 
 /** Longest wait of a reader's call for a change; short, to detect a silent connection soon. */
 const FOLLOW_WAIT_MS = 900;
@@ -17,15 +18,11 @@
 const SELF_READ_AFTER_MS = 1000;
 /** Reads of changes may miss some without an error; a periodic listing finds them. */
 const RELIST_AFTER_MS = 5000;
-/** A VM that is behind another one for this long requests the changes that it lacks. */
-const REPAIR_AFTER_MS = 400;
-const REPAIR_RETRY_MS = 300;
 /**
  * A repair starts from the revision of this time ago: a read of changes may have missed some, which
  * the next listing of a reader has found since then.
  */
 const REPAIR_OVERLAP_MS = RELIST_AFTER_MS + 3000;
-const REVISION_SAMPLE_MS = 1000;
 /** Removed keys that are kept as tombstones, so that an older batch does not restore them. */
 const MAX_TOMBSTONES = 4096;
 
@@ -37,11 +34,7 @@
   broadcast(batch: ChangeBatch): void;
   /** Requests a snapshot of the mirror from other VMs. */
   requestSnapshot(): void;
-  /**
-   * Requests the changes after a revision from a VM whose mirror is newer than `ownRevision`.
-   * Returns false if there is none.
-   */
-  requestChanges(now: number, afterRevision: number, ownRevision: number): boolean;
+  requestChanges: Parameters<typeof createRepair>[0]['requestChanges'];
   onChange(now: number, change: Change): void;
   log: Log;
 }
@@ -58,16 +51,10 @@
   let failedAt = -Infinity;
   let isServiceDown = false;
   let isListingNeeded = true;
-  let gapSince: number | undefined;
-  let isGapRequested = false;
-  /** Revision that another VM has reported and this one lacks, and the time of the first report. */
-  let behind: { revision: number; since: number } | undefined;
-  let repairRequestedAt = -Infinity;
   /** Removals up to this revision may be unknown, so that changes before it can't be passed on. */
   let historyStart = 0;
-  /** Past revisions of the mirror, oldest first; only the first one may be older than the overlap. */
-  let revisionSamples: { at: number; revision: number }[] = [];
   let isStopped = false;
+  const repair = createRepair(host, { overlapMs: REPAIR_OVERLAP_MS });
 
   function start(): void {
     run();
@@ -90,7 +77,7 @@
     if (isListingNeeded || (isReader && now - listedAt > RELIST_AFTER_MS)) {
       return (await listAll()) ? READER_PAUSE_MS : FAILURE_PAUSE_MS;
     }
-    if (!isReader && !isGapOverdue(now) && now - confirmedAt < SELF_READ_AFTER_MS) {
+    if (!isReader && !repair.isGapOverdue(now) && now - confirmedAt < SELF_READ_AFTER_MS) {
       return CHECK_PAUSE_MS;
     }
     return follow(isReader ? FOLLOW_WAIT_MS : 0);
@@ -143,7 +130,7 @@
     const now = host.now();
     recordCall(undefined);
     confirmedAt = now;
-    closeGap(now, confirmedRevision);
+    repair.closeGap(now, confirmedRevision);
     const fromRevision = revision;
     const appliedChanges = changes.filter((change) => applyChange(now, change));
     revision = Math.max(revision, confirmedRevision);
@@ -186,66 +173,22 @@
       return;
     }
     if (batch.fromRevision > revision) {
-      openGap(now, batch.fromRevision);
+      repair.openGap(now, revision, batch.fromRevision);
       return;
     }
     batch.changes.forEach((change) => applyChange(now, change));
     revision = batch.revision;
     recordRevision(now);
-    closeGap(now, revision);
+    repair.closeGap(now, revision);
     confirmedAt = Math.max(confirmedAt, now - batch.ageMs);
     isListingNeeded = false;
   }
 
-  function openGap(now: number, nextRevision: number): void {
-    if (gapSince === undefined) {
-      gapSince = now;
-      host.log('changesMissed', { revision, nextRevision });
-    }
-    isGapRequested = requestRepair(now) || isGapRequested;
-  }
-
-  /** Returns whether missed changes have to be read from the service, as no VM has sent them. */
-  function isGapOverdue(now: number): boolean {
-    return gapSince !== undefined && (!isGapRequested || now - gapSince >= REPAIR_AFTER_MS);
-  }
-
-  /**
-   * Compares the mirror with the newest revision that another VM has reported, and requests the
-   * missing changes if they do not arrive by themselves.
-   */
-  function compareRevision(now: number, newestRevision: number): void {
-    if (behind !== undefined && behind.revision > revision) {
-      if (now - behind.since >= REPAIR_AFTER_MS) {
-        requestRepair(now);
-      }
-      return;
-    }
-    behind = newestRevision > revision ? { revision: newestRevision, since: now } : undefined;
-  }
-
-  /** Requests the missing changes from another VM; returns whether it has sent a request. */
-  function requestRepair(now: number): boolean {
-    if (revision === 0 || now - repairRequestedAt < REPAIR_RETRY_MS) {
-      return false;
-    }
-    repairRequestedAt = now;
-    return host.requestChanges(now, revisionSamples[0].revision, revision);
-  }
-
   function recordRevision(now: number): void {
     if (historyStart === 0) {
       historyStart = revision;
     }
-    const last = revisionSamples.at(-1);
-    if (last === undefined || now - last.at >= REVISION_SAMPLE_MS) {
-      revisionSamples.push({ at: now, revision });
-    }
-    const isSecondOldEnough =
-      revisionSamples.length > 1 && now - revisionSamples[1].at >= REPAIR_OVERLAP_MS;
-    if (isSecondOldEnough) {
-      revisionSamples = revisionSamples.slice(1);
-    }
+    repair.recordRevision(now, revision);
   }
 
   /**
@@ -261,15 +204,6 @@
     return { fromRevision: afterRevision, revision, ageMs, changes };
   }
 
-  function closeGap(now: number, repairedRevision: number): void {
-    if (gapSince !== undefined) {
-      const openMs = Math.round(now - gapSince);
-      gapSince = undefined;
-      isGapRequested = false;
-      host.log('changesRepaired', { revision: repairedRevision, openMs });
-    }
-  }
-
   /** Returns all entries, for a VM that has just started; undefined if the mirror is empty. */
   function getSnapshot(): ChangeBatch | undefined {
     if (revision === 0) {
@@ -310,7 +244,9 @@
       isStopped = true;
     },
     applyBatch,
-    compareRevision,
+    /** Compares the mirror with the revision that another VM has reported. */
+    compareRevision: (now: number, reportedRevision: number) =>
+      repair.compareRevision(now, revision, reportedRevision),
     recordCall,
     getSnapshot,
     tryGetChanges,
