--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -19,6 +19,7 @@
 import chooseReaders from '../mirror/chooseReaders';
 import createMirror from '../mirror/createMirror';
 import readRange from '../mirror/readRange';
+import tryChooseNewerVm from '../mirror/tryChooseNewerVm';
 import runPeriodically from '../shared/runPeriodically';
 import watchLoopDelay from '../shared/watchLoopDelay';
 import createUpstreamHealth from '../upstream/createUpstreamHealth';
@@ -259,16 +260,13 @@
     return chooseReaders(vms).includes(address);
   }
 
-  /** Requests changes from a random VM whose mirror is newer, if possible of this data centre. */
+  /** Requests changes from a VM whose mirror is newer; returns false if there is none. */
   function requestChanges(now: number, afterRevision: number, ownRevision: number): boolean {
-    const newer = members
+    const vms = members
       .getMembers()
-      .filter((member) => member.newestRow > ownRevision)
       .filter((member) => members.hasRecentHeartbeat(now, member.address));
-    const nearby = newer.filter((member) => member.dataCentre === options.dataCentre);
-    const candidates = nearby.length > 0 ? nearby : newer;
-    const chosen = candidates[Math.floor(host.random() * candidates.length)];
-    return chosen !== undefined && host.send(chosen.address, { kind: 'newsWanted', afterRevision });
+    const vm = tryChooseNewerVm(vms, ownRevision, options.dataCentre, host.random());
+    return vm !== undefined && host.send(vm, { kind: 'newsWanted', afterRevision });
   }
 
   function getVersion(key: string): number {
--- a/src/mesh/compressFrame.ts
+++ b/src/mesh/compressFrame.ts
@@ -9,8 +9,10 @@
 
 /** Returns an uncompressed frame in compressed form, or unchanged if it is small. */
 export default function compressFrame(frame: Buffer): Buffer {
-  return frame.length < MIN_COMPRESSED_BYTES
-    ? frame
-    : // eslint-disable-next-line n/no-sync -- some tens of microseconds, and frames stay in order
-      packFrame(deflateRawSync(frame.subarray(frameFormat.LENGTH_BYTES), { level: LEVEL }), true);
+  if (frame.length < MIN_COMPRESSED_BYTES) {
+    return frame;
+  }
+  const payload = frame.subarray(frameFormat.LENGTH_BYTES);
+  // eslint-disable-next-line n/no-sync -- some tens of microseconds, and frames stay in order
+  return packFrame(deflateRawSync(payload, { level: LEVEL }), true);
 }
