Logs say how an upstream's response was framed and where in an event it ended

No response is handled differently, but that an event of more than 1 MiB of a stream that may not be resumed is given up, as those of other streams are.

--- a/src/gateway/ActiveRequest.ts
+++ b/src/gateway/ActiveRequest.ts
@@ -1,4 +1,5 @@
 import type Route from '../manifest/Route';
+import type ResponseFraming from '../upstream/ResponseFraming';
 import type CallerRequest from './CallerRequest';
 import type ResponseWriter from './ResponseWriter';
 
@@ -14,6 +15,10 @@
   isHeadWritten: boolean;
   /** Id of the last event written to the caller; set only for streams that may be resumed. */
   lastEventId: number | undefined;
+  /** Framing of the upstream's newest response; undefined before its head. */
+  framing: ResponseFraming | undefined;
+  /** Bytes that followed the last complete event when the newest stream ended. */
+  partialEventBytes: number;
   firstByteAt: number | undefined;
   lastByteAt: number | undefined;
   /** Total time spent waiting for prefill permissions of engines. */
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -1,4 +1,5 @@
 import type Clock from '../shared/Clock';
+import getResponseFraming from '../upstream/getResponseFraming';
 import type ResponseHandler from '../upstream/ResponseHandler';
 import type ResponseHead from './ResponseHead';
 import type AttemptOutcome from './AttemptOutcome';
@@ -35,10 +36,7 @@
   silenceMs: number,
 ): Promise<AttemptOutcome> {
   return new Promise((resolve) => {
-    const splitter =
-      request.route.kind === 'stream' && request.route.isResumable
-        ? createEventSplitter()
-        : undefined;
+    const splitter = request.route.kind === 'stream' ? createEventSplitter() : undefined;
     let bodyChunks: Buffer[] = [];
     let bodyBytes = 0;
     let head: ResponseHead | undefined;
@@ -51,6 +49,7 @@
         return;
       }
       isEnded = true;
+      Object.assign(request, { partialEventBytes: splitter?.getRemainder().length ?? 0 });
       cancelSilence();
       cancelDeadline();
       Object.assign(request, { abort: () => {} });
@@ -109,7 +108,9 @@
     };
     const finishResponse = (responseHead: ResponseHead): AttemptOutcome => {
       if (isStreaming) {
-        forward(splitter?.getRemainder() ?? Buffer.alloc(0));
+        if (splitter && request.route.isResumable) {
+          forward(splitter.getRemainder());
+        }
         request.response.end();
         return { kind: 'done', status: responseHead.status };
       }
@@ -133,6 +134,7 @@
           return;
         }
         head = responseHead;
+        Object.assign(request, { framing: getResponseFraming(headers) });
         isStreaming = request.route.kind === 'stream' && isSuccess(status);
         restartSilenceTimer();
       },
@@ -151,14 +153,15 @@
           return;
         }
         writeHead(head);
-        if (splitter) {
+        if (splitter && request.route.isResumable) {
           forwardEvents(chunk);
-          if (splitter.getRemainder().length > MAX_BUFFERED_BYTES) {
-            abortWith({ kind: 'broken', reason: 'event too large' });
-          }
         } else {
+          splitter?.splitChunk(chunk);
           forward(chunk);
         }
+        if (splitter && splitter.getRemainder().length > MAX_BUFFERED_BYTES) {
+          abortWith({ kind: 'broken', reason: 'event too large' });
+        }
       },
       onEnd: () => {
         if (!head) {
--- a/src/upstream/createConnections.ts
+++ b/src/upstream/createConnections.ts
@@ -1,6 +1,7 @@
 import { buildConnector, Client } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { Socket } from 'node:net';
+import getResponseFraming from './getResponseFraming';
 import type ResponseHandler from './ResponseHandler';
 
 /** TCP repeats a lost first packet only after 1 s; trying another upstream is faster. */
@@ -142,8 +143,7 @@
           }
         },
         onResponseStart: (_, status, headers) => {
-          isFramed =
-            headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+          isFramed = getResponseFraming(headers) !== 'connection';
           if (status >= 200) {
             connection.headEndsBefore = Infinity;
             if (!isEnded) {
--- a/test/routed/serve.test.ts
+++ b/test/routed/serve.test.ts
@@ -217,6 +217,8 @@
     deadlineAt: clock.now() + route.timeoutMs,
     isHeadWritten: false,
     lastEventId: undefined,
+    framing: undefined,
+    partialEventBytes: 0,
     firstByteAt: undefined,
     lastByteAt: undefined,
     prefillWaitMs: 0,
