A stream that ends inside an event is broken, not complete

Cause: the end of a response was left to its framing alone. A response with neither length nor chunks ends with its connection, also where its server crashed; the gateway forwarded the rest of the event and ended its own chunked response. Streams are now forwarded event by event, on routes with and without resumption, and one that ends inside an event is broken: resumed elsewhere where the route allows it, else cut, or answered with 502 if nothing was written yet. Lines may end with LF, CR or CRLF. A response that states another content type than text/event-stream is forwarded as before.

--- a/src/gateway/createEventSplitter.ts
+++ b/src/gateway/createEventSplitter.ts
@@ -4,7 +4,10 @@
 }
 
 const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = /^id: ?(\d+)\r?$/m;
+/** Blank lines and complete comment lines, which belong to no event. */
+const NO_EVENT = /^(?:[\r\n]|:[^\r\n]*[\r\n])*$/;
 
 /** Splits a stream of server-sent events into complete events. */
 export default function createEventSplitter() {
@@ -26,20 +29,34 @@
     return events;
   }
 
-  return { splitChunk, getRemainder: () => remainder };
+  return {
+    splitChunk,
+    getRemainder: () => remainder,
+    /** Returns whether the bytes after the last complete event begin another one. */
+    isInsideEvent: () => !NO_EVENT.test(remainder.toString('latin1')),
+  };
 }
 
-/** Returns the position after the blank line that ends the event starting at `eventStart`. */
+/**
+ * Returns the position after the blank line that ends the event starting at `eventStart`. Lines end
+ * with LF, CR or CRLF; blank lines before the event are part of it.
+ */
 function getEventEnd(bytes: Buffer, eventStart: number): number | undefined {
-  let position = bytes.indexOf(LINE_FEED, eventStart);
-  while (position >= 0 && position + 1 < bytes.length) {
-    if (bytes[position + 1] === LINE_FEED) {
-      return position + 2;
+  let lineStart = eventStart;
+  let hasLine = false;
+  for (let position = eventStart; position < bytes.length; position += 1) {
+    const byte = bytes[position];
+    if (byte === LINE_FEED || byte === CARRIAGE_RETURN) {
+      const isBlank = position === lineStart;
+      if (byte === CARRIAGE_RETURN && bytes[position + 1] === LINE_FEED) {
+        position += 1;
+      }
+      lineStart = position + 1;
+      if (isBlank && hasLine) {
+        return lineStart;
+      }
+      hasLine ||= !isBlank;
     }
-    if (bytes[position + 1] === 0x0d && bytes[position + 2] === LINE_FEED) {
-      return position + 3;
-    }
-    position = bytes.indexOf(LINE_FEED, position + 1);
   }
   return undefined;
 }
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -9,6 +9,7 @@
 const MIN_SUCCESS_STATUS = 200;
 const MIN_REDIRECT_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
+const EVENT_STREAM_TYPE = 'text/event-stream';
 /**
  * A larger body is forwarded while it arrives, so that it does not fill the memory; an event or the
  * body of a failure that is larger has no end.
@@ -26,7 +27,7 @@
 }
 
 /**
- * Sends a request to one upstream and forwards its response: a stream chunk by chunk, any other
+ * Sends a request to one upstream and forwards its response: a stream event by event, any other
  * response once it is complete. `silenceMs` limits the time before the first byte and between
  * chunks.
  */
@@ -36,7 +37,7 @@
   silenceMs: number,
 ): Promise<AttemptOutcome> {
   return new Promise((resolve) => {
-    const splitter = request.route.kind === 'stream' ? createEventSplitter() : undefined;
+    let splitter: ReturnType<typeof createEventSplitter> | undefined;
     let bodyChunks: Buffer[] = [];
     let bodyBytes = 0;
     let head: ResponseHead | undefined;
@@ -80,14 +81,17 @@
       }
     };
     const forwardEvents = (chunk: Buffer) => {
-      splitter!.splitChunk(chunk).forEach((event) => {
+      splitter?.splitChunk(chunk).forEach((event) => {
         const isDuplicate =
           event.id !== undefined &&
           request.lastEventId !== undefined &&
           event.id <= request.lastEventId;
         if (!isDuplicate) {
+          writeHead(head!);
           forward(event.bytes);
-          Object.assign(request, { lastEventId: event.id ?? request.lastEventId });
+          if (request.route.isResumable) {
+            Object.assign(request, { lastEventId: event.id ?? request.lastEventId });
+          }
         }
       });
     };
@@ -108,9 +112,11 @@
     };
     const finishResponse = (responseHead: ResponseHead): AttemptOutcome => {
       if (isStreaming) {
-        if (splitter && request.route.isResumable) {
-          forward(splitter.getRemainder());
+        if (splitter?.isInsideEvent()) {
+          return { kind: 'broken', reason: 'ended inside an event' };
         }
+        writeHead(responseHead);
+        forward(splitter?.getRemainder() ?? Buffer.alloc(0));
         request.response.end();
         return { kind: 'done', status: responseHead.status };
       }
@@ -136,6 +142,7 @@
         head = responseHead;
         Object.assign(request, { framing: getResponseFraming(headers) });
         isStreaming = request.route.kind === 'stream' && isSuccess(status);
+        splitter = isStreaming && mayHoldEvents(headers) ? createEventSplitter() : undefined;
         restartSilenceTimer();
       },
       onData: (chunk) => {
@@ -152,14 +159,13 @@
           bufferBody(head, chunk);
           return;
         }
-        writeHead(head);
-        if (splitter && request.route.isResumable) {
-          forwardEvents(chunk);
-        } else {
-          splitter?.splitChunk(chunk);
+        if (!splitter) {
+          writeHead(head);
           forward(chunk);
+          return;
         }
-        if (splitter && splitter.getRemainder().length > MAX_BUFFERED_BYTES) {
+        forwardEvents(chunk);
+        if (splitter.getRemainder().length > MAX_BUFFERED_BYTES) {
           abortWith({ kind: 'broken', reason: 'event too large' });
         }
       },
@@ -167,9 +173,6 @@
         if (!head) {
           end({ kind: 'lost', reason: 'no answer' });
         } else if (!isEnded) {
-          if (isStreaming) {
-            writeHead(head);
-          }
           end(finishResponse(head));
         }
       },
@@ -195,6 +198,12 @@
   });
 }
 
+/** Returns whether a response consists of events: its content type says so, or is missing. */
+function mayHoldEvents(headers: Record<string, string | string[] | undefined>): boolean {
+  const contentType = headers['content-type'];
+  return contentType === undefined || String(contentType).startsWith(EVENT_STREAM_TYPE);
+}
+
 function isSuccess(status: number): boolean {
   return status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
 }
