A call to a plain service whose connection is reset is lost, not answered

Same cause as the truncated streams, on the own interface: undici takes a reset during a response without a length as its end, so that callers got half a body with 200, and a call that may run once kept it as its response. The client now uses the connections of the gateway, which recognise a reset. Connections that a response announces to close are no longer kept as idle.

--- a/src/upstream/createConnections.ts
+++ b/src/upstream/createConnections.ts
@@ -9,6 +9,7 @@
 /** Used for upstreams that do not state how long they keep idle connections open. */
 const IDLE_TIMEOUT_MS = 4000;
 const MAX_HEADER_BYTES = 64 * 1024;
+const CLOSE_OPTION = /\bclose\b/i;
 
 /** Bytes up to the end of the final head, interim responses included. */
 const MAX_READ_HEAD_BYTES = 2 * MAX_HEADER_BYTES;
@@ -121,6 +122,7 @@
     let controller: Dispatcher.DispatchController | undefined;
     let isEnded = false;
     let isFramed = false;
+    let isClosing = false;
     const end = (callback: () => void) => {
       if (!isEnded) {
         isEnded = true;
@@ -144,6 +146,7 @@
         },
         onResponseStart: (_, status, headers) => {
           isFramed = getResponseFraming(headers) !== 'connection';
+          isClosing = CLOSE_OPTION.test(String(headers.connection));
           if (status >= 200) {
             connection.headEndsBefore = Infinity;
             if (!isEnded) {
@@ -161,7 +164,9 @@
             end(() => handler.onError({ kind: 'lost', reason: 'reset' }));
             return;
           }
-          if (!client.destroyed) {
+          if (isClosing) {
+            dropConnection(connection, group);
+          } else if (!client.destroyed) {
             group.idle.push(connection);
           }
           end(handler.onEnd);
--- a/src/upstream/createHttpServiceClient.ts
+++ b/src/upstream/createHttpServiceClient.ts
@@ -1,36 +1,57 @@
-import { Agent, request } from 'undici';
+import type Result from '../shared/Result';
+import createConnections from './createConnections';
 import type ServiceClient from './ServiceClient';
+import type ServiceError from './ServiceError';
+import type ServiceResponse from './ServiceResponse';
 
-const CONNECT_TIMEOUT_MS = 1000;
-const CONNECT_FAILURES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
+const MAX_CONNECTIONS = 1024;
 
 /**
  * Creates a client of plain HTTP services. It does not reuse connections, since an idle one may be
  * half-open.
  */
 export default function createHttpServiceClient(): ServiceClient {
-  const agent = new Agent({ connections: 64, pipelining: 0, connectTimeout: CONNECT_TIMEOUT_MS });
-  return {
-    call: async (address, serviceRequest) => {
-      try {
-        const response = await request(`http://${address}${serviceRequest.path}`, {
-          method: serviceRequest.method,
-          dispatcher: agent,
-          headers: {
-            'content-type': serviceRequest.contentType,
-            'x-request-id': serviceRequest.id,
-          },
-          body: serviceRequest.body === '' ? undefined : serviceRequest.body,
-          signal: AbortSignal.timeout(serviceRequest.timeoutMs),
-        });
-        const body = await response.body.text();
-        const contentType = String(response.headers['content-type'] ?? 'text/plain');
-        return { ok: true, value: { status: response.statusCode, contentType, body } };
-      } catch (error) {
-        const { code, message } = error as { code?: string; message: string };
-        const kind = CONNECT_FAILURES.has(code ?? '') ? 'notSent' : 'lost';
-        return { ok: false, error: { kind, reason: message } };
+  const connections = createConnections(() => {});
+
+  const call: ServiceClient['call'] = (address, request) =>
+    new Promise<Result<ServiceResponse, ServiceError>>((resolve) => {
+      const parts: Buffer[] = [];
+      let status = 0;
+      let contentType = 'text/plain';
+      const fail = (error: ServiceError) => {
+        clearTimeout(timer);
+        resolve({ ok: false, error });
+      };
+      const timer = setTimeout(() => {
+        controls?.abort();
+        fail({ kind: 'lost', reason: 'no response within the timeout' });
+      }, request.timeoutMs);
+      const message = {
+        method: request.method,
+        path: request.path,
+        headers: [
+          ...['content-type', request.contentType, 'x-request-id', request.id],
+          ...['connection', 'close'],
+        ],
+        body: request.body === '' ? undefined : Buffer.from(request.body),
+      };
+      const controls = connections.send(address, message, MAX_CONNECTIONS, {
+        onHead: (headStatus, headers) => {
+          status = headStatus;
+          contentType = String(headers['content-type'] ?? contentType);
+        },
+        onData: (chunk) => parts.push(chunk),
+        onEnd: () => {
+          clearTimeout(timer);
+          const body = Buffer.concat(parts).toString();
+          resolve({ ok: true, value: { status, contentType, body } });
+        },
+        onError: fail,
+      });
+      if (!controls) {
+        fail({ kind: 'notSent', reason: 'all connections to the service are in use' });
       }
-    },
-  };
+    });
+
+  return { call };
 }
