Stand-in servers end responses with their connection and break some off

The fault `unframed` sends streams and bodies without length or chunks, whole, cut inside an event, or reset inside a body. Soak draws it, the lab plays it on all servers (--server-fault unframed), and a test in separate processes checks that no response that was broken off reaches a caller as complete. The relay forwards resets and ends in their order; before, it turned a reset into a proper end and dropped delayed bytes.

--- a/scripts/lab.ts
+++ b/scripts/lab.ts
@@ -25,6 +25,7 @@
   --adapters N         adapters that are asked for, some much more often (default: 24)
   --vms N, --engines N entry VMs and model servers (default: 3 and 3)
   --seed N             seed of the load (default: 1)
+  --server-fault KIND  fault of all servers during a round (default: none)
   --json               figures as JSON instead of a table
   --plot FILE          latencies by kind and build as SVG`,
   {
@@ -38,6 +39,7 @@
       vms: { type: 'number', default: 3 },
       engines: { type: 'number', default: 3 },
       seed: { type: 'number', default: 1 },
+      serverFault: { type: 'string', default: 'none' },
       json: { type: 'boolean', default: false },
       plot: { type: 'string' },
     },
@@ -80,6 +82,8 @@
     adapters: flags.adapters,
     pauseMs: 1000 / flags.perSecond,
   });
+  const servers = Object.fromEntries(trial.servers.map(({ id }) => [id, flags.serverFault]));
+  await trial.post('faults', { servers });
   const startedAt = Date.now();
   const callersRun = callers.run();
   await new Promise((resolve) => {
--- a/scripts/platform/createFaults.ts
+++ b/scripts/platform/createFaults.ts
@@ -5,7 +5,7 @@
 import type createPlatformTrial from './createPlatformTrial';
 
 const KEY_VALUE_FAULTS: readonly KeyValueFault[] = ['down', 'silent', 'slow', 'lost', 'late'];
-const SERVER_FAULTS: readonly ServerFault[] = ['loseAnswers', 'errors', 'silentOrders'];
+const SERVER_FAULTS: readonly ServerFault[] = ['loseAnswers', 'errors', 'silentOrders', 'unframed'];
 const RELAY_MODES: readonly RelayMode[] = ['cut', 'silent', 'noAnswers', 'slow'];
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 4000;
--- a/standins/createRelay.ts
+++ b/standins/createRelay.ts
@@ -25,38 +25,47 @@
       () => isOpenedSilent || mode === 'silent' || mode === 'noAnswers',
     );
     pair.forEach((socket) => {
-      socket.on('error', () => {});
-      socket.on('close', () => {
-        pairs.delete(pair);
-        pair.forEach((other) => other.destroy());
-      });
+      socket.on('error', () => pair.forEach((other) => other.resetAndDestroy()));
+      socket.on('close', () => pairs.delete(pair));
     });
   });
   const [host, port] = listen.split(':');
   server.listen(Number(port), host);
 
+  /** Forwards bytes and the end of a connection in their order. */
   function forward(from: Socket, to: Socket, isBlocked: () => boolean): void {
-    from.on('data', (chunk) => {
-      if (isBlocked()) {
-        return;
-      }
+    const delay = (action: () => void) => {
       if (mode === 'slow') {
-        setTimeout(() => !to.destroyed && to.write(chunk), SLOW_DELAY_MS);
+        setTimeout(() => !to.destroyed && action(), SLOW_DELAY_MS);
       } else {
-        to.write(chunk);
+        action();
+      }
+    };
+    from.on('data', (chunk) => {
+      if (!isBlocked()) {
+        delay(() => to.write(chunk));
       }
     });
+    from.on('end', () => {
+      // Node.js reports a reset right behind the last bytes as an end without a peer address.
+      const isReset = from.remoteAddress === undefined;
+      delay(() => (isReset ? to.resetAndDestroy() : to.end()));
+    });
+  }
+
+  function resetAll(): void {
+    pairs.forEach((pair) => pair.forEach((socket) => socket.resetAndDestroy()));
   }
 
   return {
     setMode: (newMode: RelayMode) => {
       mode = newMode;
       if (newMode === 'cut') {
-        pairs.forEach((pair) => pair.forEach((socket) => socket.destroy()));
+        resetAll();
       }
     },
     /** Resets the open connections; new ones are still accepted. */
-    reset: () => pairs.forEach((pair) => pair.forEach((socket) => socket.resetAndDestroy())),
+    reset: resetAll,
     close: () => {
       server.close();
       pairs.forEach((pair) => pair.forEach((socket) => socket.destroy()));
--- a/standins/platform/createModelServer.ts
+++ b/standins/platform/createModelServer.ts
@@ -9,6 +9,8 @@
 const FIRST_EVENT_DELAY_MS = 25;
 const EVENT_COUNT = 8;
 const LATE_COMMAND_DELAY_MS = 2500;
+/** Under the fault `unframed`, one in this many streams breaks off inside an event. */
+const TRUNCATION_INTERVAL = 3;
 /** Shortest time allowed between commands of two different owners. */
 const MIN_OWNER_CHANGE_MS = 3000;
 
@@ -49,6 +51,7 @@
   const adapters = new Map<string, LoadedAdapter>();
   let sequence = 0;
   let running = 0;
+  let streamCount = 0;
   let lastCommand: { holder: string; fence: number; at: number } | undefined;
 
   const server = http.createServer(async (request, response) => {
@@ -208,11 +211,15 @@
       isOnce,
     });
     let event = from;
+    streamCount += 1;
+    const isUnframed = options.getFault() === 'unframed';
+    const isTruncated = isUnframed && streamCount % TRUNCATION_INTERVAL === 0;
     const send = () => {
       if (hasEnded) {
         return;
       }
       if (!response.headersSent) {
+        response.useChunkedEncodingByDefault = !isUnframed;
         response.writeHead(200, {
           'content-type': 'text/event-stream',
           'request-id': id,
@@ -221,8 +228,10 @@
         });
       }
       event += 1;
-      response.write(`id: ${event}\ndata: ${JSON.stringify({ id, name, version, event })}\n\n`);
-      if (event >= EVENT_COUNT) {
+      const text = `id: ${event}\ndata: ${JSON.stringify({ id, name, version, event })}\n\n`;
+      const isLast = event >= EVENT_COUNT;
+      response.write(isLast && isTruncated ? text.slice(0, text.length / 2) : text);
+      if (isLast) {
         end();
         response.end();
       } else {
--- a/standins/platform/createPlainServer.ts
+++ b/standins/platform/createPlainServer.ts
@@ -6,6 +6,9 @@
 
 const SERVICE_MS = 15;
 const SLOTS = 6;
+/** Under the fault `unframed`, one in this many responses breaks off inside its body. */
+const TRUNCATION_INTERVAL = 3;
+const RESET_DELAY_MS = 5;
 
 /** Creates a plain server, which records each execution under the caller's request id. */
 export default function createPlainServer(
@@ -13,6 +16,7 @@
   options: { id: string; getFault(): ServerFault },
 ): http.Server {
   let running = 0;
+  let responseCount = 0;
   return http.createServer(async (request, response) => {
     const id = String(request.headers['request-id'] ?? '');
     request.resume();
@@ -53,7 +57,15 @@
       response.end('failed');
       return;
     }
+    responseCount += 1;
+    response.useChunkedEncodingByDefault = fault !== 'unframed';
     response.writeHead(200, { 'request-id': id, 'response-signature': sign(id, options.id) });
+    if (fault === 'unframed' && responseCount % TRUNCATION_INTERVAL === 0) {
+      response.write('{"id":');
+      setTimeout(() => request.socket.resetAndDestroy(), RESET_DELAY_MS);
+      return;
+    }
+    response.write(''); // Keeps Node.js from adding a length.
     response.end(JSON.stringify({ id, server: options.id, path: request.url }));
   });
 }
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -51,6 +51,15 @@
     expect(statuses.filter((status) => status === 200)).not.to.have.length(0);
   });
 
+  it('never pass on a response as complete that its server broke off', async () => {
+    const servers = Object.fromEntries(trial.servers.map(({ id }) => [id, 'unframed']));
+    await trial.post('faults', { servers });
+    const statuses = await runWithCallers('unframed', () => wait(FAULT_FREE_MS));
+    await trial.post('faults', { servers: {} });
+    expect(statuses.filter((status) => status === 200)).not.to.have.length(0);
+    expect(statuses.filter((status) => status === 0)).not.to.have.length(0);
+  });
+
   it('keep serving when an owner of engines is killed and restarted', async () => {
     const owner = trial.vms.find((vm) => trial.getLog(vm).includes('"engineTaken"'))!;
     await runWithCallers('kill', async () => {
