--- a/scripts/platform/createCallers.ts
+++ b/scripts/platform/createCallers.ts
@@ -195,6 +195,9 @@
 }
 
 function tryGetStreamViolation({ id, adapter, body }: RequestResult): string | undefined {
+  if (!body.endsWith('\n\n')) {
+    return 'is framed as complete and ends inside an event';
+  }
   const events = body
     .split('\n\n')
     .filter((text) => text.includes('data: '))
