--- a/scripts/lab.ts
+++ b/scripts/lab.ts
@@ -92,8 +92,8 @@
   await callers.stop();
   await callersRun;
   const record = await trial.getExecutionRecord();
-  violations.push(...callers.getViolations(record), ...record.faults.map(({ text }) => text));
   await trial.stop();
+  violations.push(...callers.getViolations(record), ...record.faults.map(({ text }) => text));
   callers
     .getResults()
     .filter(({ sentAt }) => sentAt - startedAt >= WARM_UP_MS)
