Logs name the parts of a failed request's prompt and engines that ended under one

A resumed attempt now ends its prefill permission at its own first byte; before, that of the first attempt counted.

--- a/src/entry/RoutedEntryHost.ts
+++ b/src/entry/RoutedEntryHost.ts
@@ -17,6 +17,8 @@
     Pick<KeyValue, 'transact' | 'grantLease' | 'keepLeaseAlive' | 'revokeLease'>;
   engines: EngineControl;
   connections: Pick<ReturnType<typeof createConnections>, 'send' | 'getOpenCount'>;
+  /** Returns whether the host at `address` (`ip:port`) refuses connections: no process listens. */
+  isConnectionRefused(address: string): Promise<boolean>;
   /** Decodes a changed key of the key-value service. */
   decodeChange(change: Change): DecodedChange;
   /** Encodes a caller's request for an upstream. `headers` alternates names and values. */
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -28,6 +28,7 @@
 import createPrefillClient from '../prefill/createPrefillClient';
 import type PrefillState from '../prefill/PrefillState';
 import createBroadcaster from '../broadcast/createBroadcaster';
+import createCrashDetector from '../quarantine/createCrashDetector';
 import createUsage from '../usage/createUsage';
 import getUsageSource from '../usage/getUsageSource';
 import createUsagePublisher from '../usage/createUsagePublisher';
@@ -217,6 +218,7 @@
       );
     },
   });
+  const crashDetector = createCrashDetector({ ...host, onCrash: () => {} });
   const retryBudget = createServiceRetryBudget(
     (now) => members.getServing(now).length,
     options.getRetryLimits,
@@ -244,7 +246,7 @@
           }
         },
       },
-      { upstreams, usage, health, prefillClient },
+      { upstreams, usage, health, prefillClient, crashDetector },
     ),
     recordRequest: retryBudget.recordRequest,
     tryRetry: retryBudget.tryTake,
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -43,6 +43,11 @@
   upstreamSeen: e(230, 'info', 'An upstream was added, restarted or changed its state.'),
   upstreamGone: e(231, 'info', 'An upstream was removed.'),
   upstreamSuspended: e(232, 'warn', 'An upstream was suspended after repeated failures.'),
+  upstreamEnded: e(
+    234,
+    'warn',
+    'The process of an engine has ended right after it began a response.',
+  ),
   upstreamUnreadable: e(233, 'warn', 'The record of an upstream could not be decoded.'),
   clockJumped: e(240, 'warn', 'The time of day jumped relative to the steady clock.'),
   loopDelayed: e(241, 'warn', 'The event loop of this entry VM was held up.'),
--- a/src/gateway/CallerRequest.ts
+++ b/src/gateway/CallerRequest.ts
@@ -14,6 +14,11 @@
   adapter: string | undefined;
   promptTokens: number;
   outputTokens: number;
+  /**
+   * Ids of the parts of the prompt that other requests may share, in order; the last part of a prompt
+   * is not among them, since it belongs to the request or its session.
+   */
+  sharedPromptParts: string[];
   /** Id of the last event that the caller has received; set only if it resumes a stream. */
   resumeAfter: string | undefined;
   body: Buffer;
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -2,6 +2,7 @@
 import type Log from '../events/Log';
 import type Service from '../manifest/Service';
 import type Clock from '../shared/Clock';
+import type createCrashDetector from '../quarantine/createCrashDetector';
 import type createPrefillClient from '../prefill/createPrefillClient';
 import getPrefillMs from '../prefill/getPrefillMs';
 import type createConnections from '../upstream/createConnections';
@@ -31,6 +32,8 @@
 const MIN_PREFILL_WAIT_MS = 300;
 /** Used for routes without a pause objective. */
 const DEFAULT_PAUSE_OBJECTIVE_MS = 300;
+/** A response that has lasted this long did not end its engine when it began. */
+const MIN_BEGUN_MS = 250;
 
 interface AttemptsHost extends Clock {
   connections: Pick<ReturnType<typeof createConnections>, 'send'>;
@@ -57,6 +60,7 @@
     usage: Pick<Usage, 'beginRequest'>;
     health: UpstreamHealth;
     prefillClient: ReturnType<typeof createPrefillClient>;
+    crashDetector: Pick<ReturnType<typeof createCrashDetector>, 'checkEngine'>;
   },
 ) {
   return async function attempt(
@@ -98,6 +102,7 @@
         return { kind: 'notSent', reason: 'upstreamLeft' };
       }
     }
+    let beganAt: number | undefined;
     const outcome = await sendAttempt(
       {
         ...host,
@@ -120,6 +125,7 @@
             handler,
           ),
         onFirstByte: (now, head) => {
+          beganAt ??= now;
           if (isEngine) {
             host.endPrefill(upstream.id, request.callerRequest.id);
           }
@@ -133,7 +139,7 @@
     );
     const now = host.now();
     endRequest(now);
-    if (isEngine && request.firstByteAt === undefined) {
+    if (isEngine && beganAt === undefined) {
       host.endPrefill(upstream.id, request.callerRequest.id);
     }
     const isSilent =
@@ -153,6 +159,12 @@
     if (isFailure && parts.health.recordFailure(now, upstream.id)) {
       host.log('upstreamSuspended', { upstream: upstream.id, cause: outcome.kind });
     }
+    const lastedMs = (request.lastByteAt ?? now) - (beganAt ?? Infinity);
+    if (isEngine && (outcome.kind === 'lost' || outcome.kind === 'broken')) {
+      if (lastedMs < MIN_BEGUN_MS) {
+        parts.crashDetector.checkEngine(upstream, request.callerRequest);
+      }
+    }
     if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream' && isEngine) {
       host.reportMissingAdapter(upstream.id, adapterKey);
     }
--- a/src/gateway/createGateway.ts
+++ b/src/gateway/createGateway.ts
@@ -135,6 +135,7 @@
       ms: Math.round(now - request.arrivedAt),
       firstMs: request.firstByteAt && Math.round(request.firstByteAt - request.arrivedAt),
       tokens: request.callerRequest.promptTokens,
+      parts: kind === 'answered' ? undefined : request.callerRequest.sharedPromptParts,
       turnMs: Math.round(request.prefillWaitMs),
       pauseMs: Math.round(request.longestPauseMs),
     });
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -43,6 +43,7 @@
     let head: ResponseHead | undefined;
     let isStreaming = false;
     let isEnded = false;
+    let hasBegun = false;
     let cancelSilence = () => {};
 
     const end = (outcome: AttemptOutcome) => {
@@ -150,7 +151,8 @@
           return;
         }
         const now = host.now();
-        if (request.firstByteAt === undefined || !isStreaming) {
+        if (!hasBegun || !isStreaming) {
+          hasBegun = true;
           host.onFirstByte(now, head);
         }
         recordBytes(request, now);
--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -72,6 +72,7 @@
           },
         },
         connections: { send: (...[, , , handler]) => runStream(handler), getOpenCount: () => 0 },
+        isConnectionRefused: async () => false,
         decodeChange,
         encodeRequest: () => ({ method: 'GET', path: '/', headers: [], body: undefined }),
         decodeHead: (status) => ({ status, headers: [], id: undefined, isNotRun: false }),
@@ -350,6 +351,7 @@
     adapter,
     promptTokens: 300,
     outputTokens: 50,
+    sharedPromptParts: [],
     resumeAfter: undefined,
     body: Buffer.alloc(0),
   };
--- a/test/routed/serve.test.ts
+++ b/test/routed/serve.test.ts
@@ -207,6 +207,7 @@
       adapter: undefined,
       promptTokens: 0,
       outputTokens: 0,
+      sharedPromptParts: [],
       resumeAfter: undefined,
       body: Buffer.alloc(0),
     },
