Failing test: prompts that crash engines are sent to one after the other

The stand-in's model servers end when they begin a response on a prompt with one part, and on command (ordinary crashes), refuse connections and are back after 2 s without adapters. Relays refuse connections while their target does. Callers send such prompts beside sound ones that share the first part, and judge what reached servers after the fifth crash, and that no sound request was refused for its prompt.

--- a/scripts/lab.ts
+++ b/scripts/lab.ts
@@ -26,6 +26,7 @@
   --vms N, --engines N entry VMs and model servers (default: 3 and 3)
   --seed N             seed of the load (default: 1)
   --server-fault KIND  fault of all servers during a round (default: none)
+  --crashing-share N   part of the chat requests that crash servers (default: 0)
   --json               figures as JSON instead of a table
   --plot FILE          latencies by kind and build as SVG`,
   {
@@ -40,6 +41,7 @@
       engines: { type: 'number', default: 3 },
       seed: { type: 'number', default: 1 },
       serverFault: { type: 'string', default: 'none' },
+      crashingShare: { type: 'number', default: 0 },
       json: { type: 'boolean', default: false },
       plot: { type: 'string' },
     },
@@ -81,6 +83,7 @@
     random: createRandom(flags.seed + round),
     adapters: flags.adapters,
     pauseMs: 1000 / flags.perSecond,
+    crashingShare: flags.crashingShare,
   });
   const servers = Object.fromEntries(trial.servers.map(({ id }) => [id, flags.serverFault]));
   await trial.post('faults', { servers });
@@ -94,6 +97,7 @@
   const record = await trial.getExecutionRecord();
   await trial.stop();
   violations.push(...callers.getViolations(record), ...record.faults.map(({ text }) => text));
+  violations.push(...[callers.tryGetCrashViolation(record)].filter((text) => text !== undefined));
   callers
     .getResults()
     .filter(({ sentAt }) => sentAt - startedAt >= WARM_UP_MS)
--- a/scripts/platform/createCallers.ts
+++ b/scripts/platform/createCallers.ts
@@ -1,4 +1,5 @@
 import { Agent, request } from 'undici';
+import CRASHING_PART from '../../standins/platform/CRASHING_PART';
 import sign from '../../standins/platform/sign';
 import type ExecutionRecord from '../../standins/platform/ExecutionRecord';
 import type createPlatformTrial from './createPlatformTrial';
@@ -12,6 +13,8 @@
   kind: RequestKind;
   adapter: string;
   vm: string;
+  /** Whether its prompt has the part that crashes model servers. */
+  isCrashing: boolean;
   sentAt: number;
   endedAt: number;
   /** HTTP status; 0 if the connection ended before the complete response. */
@@ -25,6 +28,12 @@
 const DEADLINE_MS = 3000;
 const RESOLVE_INTERVAL_MS = 1000;
 const MAX_VERSION_LAG_MS = 5000;
+/** First parts of prompts; requests that crash servers share them with others. */
+const FIRST_PARTS = ['0a1', '0a2', '0a3'];
+/** Number of crashes, and time after them, from which only a few more requests may reach servers. */
+const KNOWN_CRASHES = 5;
+const KNOWN_AFTER_MS = 3000;
+const MAX_LATE_ARRIVALS = 3;
 const NOT_RUN = new Set([408, 421, 429, 503]);
 
 /**
@@ -33,7 +42,14 @@
  */
 export default function createCallers(
   trial: Trial,
-  options: { name: string; random: () => number; adapters: number; pauseMs: number },
+  options: {
+    name: string;
+    random: () => number;
+    adapters: number;
+    pauseMs: number;
+    /** Part of the `chat` requests whose prompt crashes model servers (default: none). */
+    crashingShare?: number;
+  },
 ) {
   const agent = new Agent({ connections: 20, pipelining: 1 });
   const results: RequestResult[] = [];
@@ -83,7 +99,11 @@
     const adapter = `a${1 + Math.floor(options.random() ** 2 * options.adapters)}`;
     const vm = addresses[Math.floor(options.random() * addresses.length)];
     count += 1;
-    await send(`${options.name}-${kind}-${count}`, kind, adapter, vm);
+    const isCrashing =
+      kind === 'chat' &&
+      options.crashingShare !== undefined &&
+      options.random() < options.crashingShare;
+    await send(`${options.name}-${kind}-${count}`, kind, adapter, vm, isCrashing);
   }
 
   async function send(
@@ -91,6 +111,7 @@
     kind: RequestKind,
     adapter: string,
     vm: string,
+    isCrashing = false,
   ): Promise<RequestResult> {
     const isStream = kind === 'chat' || kind === 'resume';
     const result: RequestResult = {
@@ -98,6 +119,7 @@
       kind,
       adapter,
       vm,
+      isCrashing,
       sentAt: Date.now(),
       endedAt: 0,
       status: 0,
@@ -114,7 +136,7 @@
           ...(isStream && {
             model: `${trial.model}/${adapter}`,
             'token-count': '400,40',
-            'prompt-prefix': `${adapter}:300,${id}:100`,
+            'prompt-prefix': getPrompt(id, adapter, isCrashing),
           }),
         },
         body: kind === 'look' ? undefined : `{"id":"${id}"}`,
@@ -166,6 +188,9 @@
             addViolation(`began on a version older than ${version}`);
           }
         });
+      if (result.body.includes('promptBlocked') && !result.isCrashing) {
+        addViolation('refused as a prompt that crashes servers');
+      }
       if (result.status === 404 || result.status === 400) {
         addViolation('a valid request was refused as invalid');
       }
@@ -183,9 +208,31 @@
     });
   }
 
+  /**
+   * Returns a violation if too many requests that crash servers reached them after they could be
+   * known; those sent by a VM that `isDisturbed` at the time do not count.
+   */
+  function tryGetCrashViolation(
+    record: ExecutionRecord,
+    isDisturbed: (vm: string, at: number) => boolean = () => false,
+  ): string | undefined {
+    const known = record.crashes.filter(({ part }) => part !== undefined)[KNOWN_CRASHES - 1];
+    const sent = new Map(results.map((result) => [result.id, result]));
+    const late = record.crashingArrivals.filter(
+      ({ at, id }) =>
+        known !== undefined &&
+        at > known.at + KNOWN_AFTER_MS &&
+        !isDisturbed(sent.get(id)?.vm ?? '', at),
+    );
+    return late.length > MAX_LATE_ARRIVALS
+      ? `${late.length} requests that crash servers reached them after ${KNOWN_CRASHES} crashes`
+      : undefined;
+  }
+
   return {
     run,
     send,
+    tryGetCrashViolation,
     stop,
     getViolations,
     recordVersion: (adapter: string, version: number) =>
@@ -194,6 +241,11 @@
   };
 }
 
+function getPrompt(id: string, adapter: string, isCrashing: boolean): string {
+  const first = FIRST_PARTS[id.length % FIRST_PARTS.length];
+  return `${first}:200,${isCrashing ? CRASHING_PART : `c${adapter}`}:100,${id}:100`;
+}
+
 function tryGetStreamViolation({ id, adapter, body }: RequestResult): string | undefined {
   if (!body.endsWith('\n\n')) {
     return 'is framed as complete and ends inside an event';
--- a/scripts/platform/createFaults.ts
+++ b/scripts/platform/createFaults.ts
@@ -19,7 +19,7 @@
   const { random } = options;
   const faultyVms = new Set<string>();
   /** Times at which faults of VMs, or of links to servers, ended. */
-  const recoveries: { vm: string; at: number }[] = [];
+  const recoveries: { vm: string; since: number; at: number }[] = [];
   const servers: Record<string, ServerFault> = {};
   let manifest = 1;
   const versions = new Map<string, number>();
@@ -42,9 +42,10 @@
       return;
     }
     faultyVms.add(vm);
+    const since = Date.now();
     await injectFault(vm);
     faultyVms.delete(vm);
-    recoveries.push({ vm, at: Date.now() });
+    recoveries.push({ vm, since, at: Date.now() });
     options.log(`${vm} has recovered`);
   }
 
@@ -99,11 +100,12 @@
     cutServer: async () => {
       const { id } = pickRandom(trial.servers);
       const mode = pickRandom(RELAY_MODES);
+      const since = Date.now();
       options.log(`${id}: ${mode}`);
       trial.serverRelays.get(id)!.setMode(mode);
       await waitFaultDuration();
       trial.serverRelays.get(id)!.setMode('open');
-      trial.vms.forEach((vm) => recoveries.push({ vm, at: Date.now() }));
+      trial.vms.forEach((vm) => recoveries.push({ vm, since, at: Date.now() }));
     },
     resetServer: async () => {
       const { id } = pickRandom(trial.servers);
@@ -119,6 +121,11 @@
       servers[id] = 'none';
       await trial.post('faults', { servers });
     },
+    crash: async () => {
+      const { id } = pickRandom(trial.servers);
+      options.log(`${id}: crash`);
+      await trial.post('crash', { id });
+    },
     version: async () => {
       const adapter = `a${1 + Math.floor(random() * options.adapters)}`;
       const version = (versions.get(adapter) ?? 1) + 1;
@@ -153,5 +160,12 @@
     });
   }
 
-  return { run, hasRecoveredWithin };
+  /** Returns whether a fault of a VM or its links was in progress at most `withinMs` before `at`. */
+  function wasDisturbedWithin(vm: string, at: number, withinMs: number): boolean {
+    return recoveries.some(
+      (recovery) => recovery.vm === vm && recovery.since <= at && at - recovery.at <= withinMs,
+    );
+  }
+
+  return { run, hasRecoveredWithin, wasDisturbedWithin };
 }
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -17,6 +17,9 @@
 const RESUME_TOLERANCE_MS = 300;
 const RECOVERY_TIMEOUT_MS = 12_000;
 const POLL_MS = 300;
+/** Part of the chat requests that crash model servers, in every second seed. */
+const CRASHING_SHARE = 0.03;
+const CONTACT_MS = 3000;
 const ADAPTERS = 24;
 
 const cli = meow(
@@ -62,6 +65,7 @@
     random,
     adapters: ADAPTERS,
     pauseMs: 12,
+    crashingShare: seed % 2 === 0 ? CRASHING_SHARE : undefined,
   });
   const faults = createFaults(trial, callers, { random, adapters: ADAPTERS, log: note });
   const callersRun = callers.run();
@@ -82,6 +86,13 @@
     .forEach(({ at, holder, text, former }) =>
       violations.push(`${at} ${holder} ${text} ${JSON.stringify(former)}`),
     );
+  const crashViolation = callers.tryGetCrashViolation(record, (vm, at) => {
+    const name = trial.vms.find((candidate) => trial.getAddress(candidate, 8080) === vm)!;
+    return faults.wasDisturbedWithin(name, at, CONTACT_MS);
+  });
+  if (crashViolation !== undefined) {
+    violations.push(crashViolation);
+  }
   trial.exits.forEach(({ name, exit }) =>
     violations.push(`${name} ended: ${JSON.stringify(exit)}`),
   );
--- a/standins/createRelay.ts
+++ b/standins/createRelay.ts
@@ -3,8 +3,13 @@
 import type RelayMode from './RelayMode';
 
 const SLOW_DELAY_MS = 150;
+/** Time after which a relay whose target refuses connections tries it again. */
+const TARGET_CHECK_MS = 50;
 
-/** Creates a TCP relay between two processes that can close, delay or silence its connections. */
+/**
+ * Creates a TCP relay between two processes that can close, delay or silence its connections. It
+ * refuses connections while its target does.
+ */
 export default function createRelay(listen: string, target: string) {
   const pairs = new Set<[Socket, Socket]>();
   let mode: RelayMode = 'open';
@@ -13,8 +18,7 @@
       clientSocket.destroy();
       return;
     }
-    const [host, port] = target.split(':');
-    const targetSocket = net.connect({ host, port: Number(port) });
+    const targetSocket = connectToTarget();
     const pair: [Socket, Socket] = [clientSocket, targetSocket];
     pairs.add(pair);
     const isOpenedSilent = mode === 'silent';
@@ -30,8 +34,34 @@
     });
   });
   const [host, port] = listen.split(':');
+  let isClosed = false;
   server.listen(Number(port), host);
 
+  function connectToTarget(): Socket {
+    const [targetHost, targetPort] = target.split(':');
+    const socket = net.connect({ host: targetHost, port: Number(targetPort) });
+    socket.once('error', (error: Error & { code?: string }) => {
+      if (error.code === 'ECONNREFUSED') {
+        server.close();
+        setTimeout(reopen, TARGET_CHECK_MS);
+      }
+    });
+    return socket;
+  }
+
+  function reopen(): void {
+    if (isClosed || server.listening) {
+      return;
+    }
+    const socket = connectToTarget();
+    socket.once('connect', () => {
+      socket.destroy();
+      if (!isClosed && !server.listening) {
+        server.listen(Number(port), host);
+      }
+    });
+  }
+
   /** Forwards bytes and the end of a connection in their order. */
   function forward(from: Socket, to: Socket, isBlocked: () => boolean): void {
     const delay = (action: () => void) => {
@@ -67,6 +97,7 @@
     /** Resets the open connections; new ones are still accepted. */
     reset: resetAll,
     close: () => {
+      isClosed = true;
       server.close();
       pairs.forEach((pair) => pair.forEach((socket) => socket.destroy()));
     },
--- a/standins/platform/ExecutionRecord.ts
+++ b/standins/platform/ExecutionRecord.ts
@@ -13,6 +13,10 @@
     /** The preceding command, if the violation is between two commands. */
     former?: { holder: string; at: number };
   }[];
+  /** Crashes of model servers; `part` is the part of a prompt that caused it, if one did. */
+  crashes: { at: number; server: string; part?: string }[];
+  /** Arrivals of requests whose prompt has the part that crashes model servers. */
+  crashingArrivals: { at: number; id: string }[];
   /** Number of commands by result. */
   orders: Record<string, number>;
 }
--- a/standins/platform/createModelServer.ts
+++ b/standins/platform/createModelServer.ts
@@ -1,7 +1,9 @@
 import http from 'node:http';
+import type net from 'node:net';
 import { z } from 'zod';
 import type ExecutionRecord from './ExecutionRecord';
 import type ServerFault from './ServerFault';
+import CRASHING_PART from './CRASHING_PART';
 import sign from './sign';
 
 const LOAD_MS = 250;
@@ -11,6 +13,8 @@
 const LATE_COMMAND_DELAY_MS = 2500;
 /** Under the fault `unframed`, one in this many streams breaks off inside an event. */
 const TRUNCATION_INTERVAL = 3;
+/** Time after a crash at which the server is back, without adapters. */
+const RESTART_MS = 2000;
 /** Shortest time allowed between commands of two different owners. */
 const MIN_OWNER_CHANGE_MS = 3000;
 
@@ -41,6 +45,7 @@
   /** Returns the newest announced version of an adapter. */
   getNewestVersion(adapter: string): number;
   onChange(): void;
+  onRestart(): void;
 }
 
 /**
@@ -73,6 +78,30 @@
     }
   });
 
+  const sockets = new Set<net.Socket>();
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
+
+  /** Ends the server as a crash does, and starts it again after some time. */
+  function crash(part?: string): void {
+    if (!server.listening) {
+      return;
+    }
+    record.crashes.push({ at: Date.now(), server: options.id, part });
+    const { address, port } = server.address() as net.AddressInfo;
+    server.close();
+    sockets.forEach((socket) => socket.resetAndDestroy());
+    adapters.clear();
+    sequence = 0;
+    lastCommand = undefined;
+    setTimeout(() => {
+      server.listen(port, address);
+      options.onRestart();
+    }, RESTART_MS);
+  }
+
   function handleCommand(command: z.infer<typeof Command>, response: http.ServerResponse): void {
     checkOwner(command);
     if (options.getFault() === 'silentOrders' && sequence % 2 === 1) {
@@ -201,6 +230,11 @@
       }
     };
     response.once('close', end);
+    const prompt = String(request.headers['prompt-prefix'] ?? '');
+    const isCrashing = prompt.split(',').some((part) => part.startsWith(CRASHING_PART));
+    if (isCrashing) {
+      record.crashingArrivals.push({ at: Date.now(), id });
+    }
     const from = Number(request.headers['last-event-id'] ?? 0);
     const isOnce = !String(request.url).includes('/resume/');
     (record.runs[id] ??= []).push({
@@ -218,6 +252,10 @@
       if (hasEnded) {
         return;
       }
+      if (isCrashing) {
+        crash(CRASHING_PART);
+        return;
+      }
       if (!response.headersSent) {
         response.useChunkedEncodingByDefault = !isUnframed;
         response.writeHead(200, {
@@ -266,5 +304,5 @@
     ];
   }
 
-  return { server, getModels };
+  return { server, getModels, crash };
 }
--- a/standins/platform/main.ts
+++ b/standins/platform/main.ts
@@ -23,13 +23,20 @@
 
 const layout = JSON.parse(readFileSync(config, 'utf8')) as Layout;
 const store = createKeyValueStore();
-const record: ExecutionRecord = { runs: {}, faults: [], orders: {} };
+const record: ExecutionRecord = {
+  runs: {},
+  faults: [],
+  crashes: [],
+  crashingArrivals: [],
+  orders: {},
+};
 const versions = new Map<string, number>();
 const faults: { store: KeyValueFault; servers: Record<string, ServerFault> } = {
   store: 'none',
   servers: {},
 };
-const bootTime = Date.now();
+const bootTimes = new Map(layout.servers.map(({ id }) => [id, Date.now()]));
+const crashes = new Map<string, () => void>();
 
 layout.servers.forEach((server) => {
   const getFault = () => faults.servers[server.id] ?? 'none';
@@ -46,7 +53,12 @@
     getFault,
     getNewestVersion: (adapter) => versions.get(adapter) ?? 1,
     onChange: () => register(server, modelServer.getModels()),
+    onRestart: () => {
+      bootTimes.set(server.id, Date.now());
+      register(server, modelServer.getModels());
+    },
   });
+  crashes.set(server.id, modelServer.crash);
   listen(modelServer.server, server.listen);
   register(server, modelServer.getModels());
 });
@@ -60,6 +72,11 @@
 control.post('/faults', async (context) =>
   context.json(Object.assign(faults, await context.req.json())),
 );
+control.post('/crash', async (context) => {
+  const { id } = await context.req.json<{ id: string }>();
+  crashes.get(id)?.();
+  return context.body(null, 200);
+});
 control.post('/forget', (context) => {
   store.compactHistory();
   return context.body(null, 200);
@@ -86,7 +103,7 @@
     Slots: server.kind === 'plain' ? 6 : layout.slots,
     State: 'ready',
     Seq: 1,
-    born: bootTime,
+    born: bootTimes.get(server.id),
     ...(models !== undefined && { Models: models }),
   });
 }
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -6,6 +6,8 @@
 const ADAPTER_COUNT = 20;
 const FAULT_FREE_MS = 4000;
 const LEASE_MS = 3000;
+const CRASHING_MS = 30_000;
+const SOUND_COUNT = 100;
 const AFTER_KILL_MS = 9000;
 
 function wait(delayMs: number): Promise<void> {
@@ -60,6 +62,37 @@
     expect(statuses.filter((status) => status === 0)).not.to.have.length(0);
   });
 
+  it('stop sending prompts that crash one engine after the other, and only those', async () => {
+    const callers = createCallers(trial, {
+      name: 'crashing',
+      random: createRandom(5),
+      adapters: ADAPTER_COUNT,
+      pauseMs: 15,
+      crashingShare: 0.1,
+    });
+    const running = callers.run();
+    const [engine] = trial.servers;
+    await wait(CRASHING_MS / 2);
+    await trial.post('crash', { id: engine.id });
+    await trial.endProcess(trial.vms[0], 'SIGKILL');
+    trial.startVm(trial.vms[0]);
+    await trial.waitUntilReady(trial.vms[0]);
+    await wait(CRASHING_MS / 2);
+    await callers.stop();
+    await running;
+    const ledger = await trial.getExecutionRecord();
+    expect(ledger.crashes.filter(({ part }) => part !== undefined)).not.to.have.length(0);
+    expect(callers.tryGetCrashViolation(ledger)).to.equal(undefined);
+    expect(callers.getViolations(ledger)).to.deep.equal([]);
+    const sound = callers
+      .getResults()
+      .filter(({ kind, isCrashing }) => kind === 'chat' && !isCrashing)
+      .slice(-SOUND_COUNT);
+    expect(sound.filter(({ status }) => status === 200)).to.have.length.greaterThan(
+      SOUND_COUNT / 2,
+    );
+  });
+
   it('keep serving when an owner of engines is killed and restarted', async () => {
     const owner = trial.vms.find((vm) => trial.getLog(vm).includes('"engineTaken"'))!;
     await runWithCallers('kill', async () => {
