Requests with a part of a prompt that crashes engines are refused

Cause: each VM saw a few lost requests and suspended the engine; nothing related the crashes to what the lost requests share, so that the next request with the part went to the next engine.

VMs now report engines that ended as they began a response, with the shared parts of the prompt. Requests are refused on arrival and again right before they are sent (503, promptBlocked, not run, with the time until the block ends).

--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -166,6 +166,8 @@
           { kind: 'turnWanted' },
           { kind: 'turn' },
           { kind: 'turnOver' },
+          { kind: 'engineCrash' },
+          { kind: 'promptBlocks' },
         ),
         ({ kind }) => host.log('messageDropped', { from, kind }),
       )
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -29,6 +29,7 @@
 import type PrefillState from '../prefill/PrefillState';
 import createBroadcaster from '../broadcast/createBroadcaster';
 import createCrashDetector from '../quarantine/createCrashDetector';
+import createPromptGuard from '../quarantine/createPromptGuard';
 import createUsage from '../usage/createUsage';
 import getUsageSource from '../usage/getUsageSource';
 import createUsagePublisher from '../usage/createUsagePublisher';
@@ -42,6 +43,8 @@
 /** Interval at which owners repeat the states of their engines, for VMs that missed a message. */
 const STATES_INTERVAL_MS = 2000;
 const OWNERSHIP_INTERVAL_MS = 250;
+/** Interval at which blocks of prompts are repeated, for VMs that missed them. */
+const BLOCKS_INTERVAL_MS = 1000;
 /** Characters that are logged of a registration that can't be decoded. */
 const MAX_LOGGED_LENGTH = 200;
 
@@ -218,7 +221,19 @@
       );
     },
   });
-  const crashDetector = createCrashDetector({ ...host, onCrash: () => {} });
+  const promptGuard = createPromptGuard({
+    ...host,
+    tryGetRecord: mirror.tryGet,
+    isWriter: isReader,
+    isHub: (now) => broadcaster.getHub(now) === address,
+    broadcast: broadcaster.broadcast,
+    broadcastNearby: broadcaster.broadcastNearby,
+    setBlockCount: (count) => metrics.blockedParts.set(count),
+  });
+  const crashDetector = createCrashDetector({
+    ...host,
+    onCrash: (report) => promptGuard.reportCrash(host.now(), report),
+  });
   const retryBudget = createServiceRetryBudget(
     (now) => members.getServing(now).length,
     options.getRetryLimits,
@@ -230,6 +245,8 @@
     attempt: createAttempts(
       {
         ...host,
+        tryGetPromptBlock: promptGuard.tryGetBlock,
+        recordServed: promptGuard.recordSuccess,
         getService: (name) => manifest?.services.get(name),
         getVmCount: (now) => members.getServing(now).length,
         endPrefill: (engine, id) => {
@@ -248,6 +265,7 @@
       },
       { upstreams, usage, health, prefillClient, crashDetector },
     ),
+    tryGetPromptBlock: promptGuard.tryGetBlock,
     recordRequest: retryBudget.recordRequest,
     tryRetry: retryBudget.tryTake,
     metrics,
@@ -275,7 +293,8 @@
     return versions.get(key) ?? 0;
   }
 
-  function applyChange(_: number, change: Change): void {
+  function applyChange(now: number, change: Change): void {
+    promptGuard.receiveRecord(now, change.key, change.value);
     match(host.decodeChange(change))
       .with({ kind: 'manifest' }, (decoded) => applyManifest(decoded.manifest, change.revision))
       .with({ kind: 'upstream' }, ({ id, upstream }) => {
@@ -396,6 +415,8 @@
       .with({ kind: 'turn' }, ({ id, state }) => prefillClient.handleReply(id, state))
       .with({ kind: 'turnOver' }, ({ engine, id }) => prefill.finish(now, engine, id))
       .with({ kind: 'loadRefused' }, ({ engine, key }) => pendingLoads.retryElsewhere(engine, key))
+      .with({ kind: 'engineCrash' }, (report) => promptGuard.receiveCrash(now, report))
+      .with({ kind: 'promptBlocks' }, ({ blocks }) => promptGuard.receiveBlocks(now, blocks))
       .with({ kind: 'engineDoubted' }, ({ engine }) => engines.tryGet(engine)?.invalidateState())
       .otherwise(({ kind }) => host.log('messageDropped', { from, kind }));
   }
@@ -417,6 +438,7 @@
       checkCongestion(host.now());
     });
     runPeriodically(host, STATES_INTERVAL_MS, () => engines.announceStates());
+    runPeriodically(host, BLOCKS_INTERVAL_MS, () => promptGuard.publish(host.now()));
   }
 
   function getEngineIds(): string[] {
@@ -463,6 +485,7 @@
       gateway.handle(host.now(), callerRequest, response),
     refuse: gateway.refuse,
     getInFlight: gateway.getInFlight,
+    promptGuard,
     getLimits: () => manifest?.limits,
     metrics,
   };
--- a/src/gateway/Refusal.ts
+++ b/src/gateway/Refusal.ts
@@ -7,7 +7,9 @@
   | { kind: 'bodyTooLarge' }
   | { kind: 'slowBody' }
   | { kind: 'noUpstream' | 'busy' | 'noAdapter'; retryAfterMs: number; seen?: CapacityDetails }
-  | { kind: 'deadline'; retryAfterMs: number };
+  | { kind: 'deadline'; retryAfterMs: number }
+  /** A part of the prompt crashes engines; no engine will run the request until the block ends. */
+  | { kind: 'promptBlocked'; part: string; retryAfterMs: number };
 
 /** State that led to a refusal for lack of capacity; written to the log. */
 interface CapacityDetails {
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -49,6 +49,9 @@
   endPrefill(engine: string, id: string): void;
   /** Reports that an engine did not hold an adapter that was announced as resident there. */
   reportMissingAdapter(engine: string, key: string): void;
+  tryGetPromptBlock(now: number, parts: readonly string[]): unknown;
+  /** Reports that an engine served a request, or at least did not end as it began to. */
+  recordServed(now: number, parts: readonly string[]): void;
   log: Log;
 }
 
@@ -101,6 +104,11 @@
         host.endPrefill(upstream.id, request.callerRequest.id);
         return { kind: 'notSent', reason: 'upstreamLeft' };
       }
+      if (host.tryGetPromptBlock(host.now(), request.callerRequest.sharedPromptParts)) {
+        endRequest(host.now());
+        host.endPrefill(upstream.id, request.callerRequest.id);
+        return { kind: 'notSent', reason: 'promptBlocked' };
+      }
     }
     let beganAt: number | undefined;
     const outcome = await sendAttempt(
@@ -155,15 +163,16 @@
       (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream' && !isEngine) ||
       (outcome.kind === 'notSent' &&
         outcome.reason !== 'noConnection' &&
-        outcome.reason !== 'noTurn');
+        outcome.reason !== 'noTurn' &&
+        outcome.reason !== 'promptBlocked');
     if (isFailure && parts.health.recordFailure(now, upstream.id)) {
       host.log('upstreamSuspended', { upstream: upstream.id, cause: outcome.kind });
     }
     const lastedMs = (request.lastByteAt ?? now) - (beganAt ?? Infinity);
-    if (isEngine && (outcome.kind === 'lost' || outcome.kind === 'broken')) {
-      if (lastedMs < MIN_BEGUN_MS) {
-        parts.crashDetector.checkEngine(upstream, request.callerRequest);
-      }
+    if (isEngine && (outcome.kind === 'done' || lastedMs >= MIN_BEGUN_MS)) {
+      host.recordServed(now, request.callerRequest.sharedPromptParts);
+    } else if (isEngine && (outcome.kind === 'lost' || outcome.kind === 'broken')) {
+      parts.crashDetector.checkEngine(upstream, request.callerRequest);
     }
     if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream' && isEngine) {
       host.reportMissingAdapter(upstream.id, adapterKey);
--- a/src/gateway/createGateway.ts
+++ b/src/gateway/createGateway.ts
@@ -26,6 +26,11 @@
     isImmediate: boolean,
   ): Promise<Result<Placement, Refusal>>;
   attempt(request: ActiveRequest, placement: Placement, isLast: boolean): Promise<AttemptOutcome>;
+  /** Returns the part of a prompt for which requests are refused, and the time until that ends. */
+  tryGetPromptBlock(
+    now: number,
+    parts: readonly string[],
+  ): { part: string; endsInMs: number } | undefined;
   recordRequest(now: number, service: string): void;
   tryRetry(now: number, service: string): boolean;
   /** Returns a number from 0 to 1. */
@@ -63,6 +68,12 @@
       refuse(callerRequest, response, { kind: 'notReady', retryAfterMs: LEAVING_RETRY_AFTER_MS });
       return () => {};
     }
+    const block = host.tryGetPromptBlock(arrivedAt, callerRequest.sharedPromptParts);
+    if (block) {
+      const { part, endsInMs } = block;
+      refuse(callerRequest, response, { kind: 'promptBlocked', part, retryAfterMs: endsInMs });
+      return () => {};
+    }
     const service = pickTarget(route, host.random());
     const timeoutMs = Math.min(route.timeoutMs, callerRequest.deadlineMs ?? Infinity);
     const request: ActiveRequest = {
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -30,6 +30,10 @@
     isImmediate: boolean,
   ): Promise<Result<Placement, Refusal>>;
   attempt(request: ActiveRequest, placement: Placement, isLast: boolean): Promise<AttemptOutcome>;
+  tryGetPromptBlock(
+    now: number,
+    parts: readonly string[],
+  ): { part: string; endsInMs: number } | undefined;
   /** Takes one retry from the retry budget of the service; returns false if none is left. */
   tryRetry(now: number, service: string): boolean;
   /** Returns a number from 0 to 1. */
@@ -107,6 +111,12 @@
           ? fail('busy')
           : refuse({ kind: 'busy', retryAfterMs: getRetryAfterMs(host.random()) });
       })
+      .with({ kind: 'notSent', reason: 'promptBlocked' }, () => {
+        const block = host.tryGetPromptBlock(host.now(), request.callerRequest.sharedPromptParts);
+        return sentCount > notRunCount || !block
+          ? fail('promptBlocked')
+          : refuse({ kind: 'promptBlocked', part: block.part, retryAfterMs: block.endsInMs });
+      })
       .with({ kind: 'notSent' }, ({ reason }) => {
         unsentCount += 1;
         if (reason !== 'noConnection') {
--- a/src/gateway/writeRefusal.ts
+++ b/src/gateway/writeRefusal.ts
@@ -15,9 +15,13 @@
     .with('headerTooLarge', () => 431)
     .with('bodyTooLarge', () => 413)
     .with('slowBody', () => 408)
-    .with(P.union('notReady', 'noUpstream', 'busy', 'noAdapter', 'deadline'), () => 503)
+    .with(
+      P.union('notReady', 'noUpstream', 'busy', 'noAdapter', 'deadline', 'promptBlocked'),
+      () => 503,
+    )
     .exhaustive();
-  const body = Buffer.from(JSON.stringify({ error: { code: refusal.kind, ran: 'no' } }));
+  const part = refusal.kind === 'promptBlocked' ? refusal.part : undefined;
+  const body = Buffer.from(JSON.stringify({ error: { code: refusal.kind, ran: 'no', part } }));
   const retryAfter: [string, string][] =
     'retryAfterMs' in refusal
       ? [['retry-after', String(refusal.retryAfterMs / MS_PER_SECOND)]]
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -257,6 +257,13 @@
    * the call if it has not sent it yet.
    */
   z.object({ kind: z.literal('callInquiry'), key: z.string(), nonce: z.string() }),
+  /** Reports that an engine ended right after it began a response; see `CrashReport`. */
+  z.object({ kind: z.literal('engineCrash'), engine: z.string(), parts: z.array(z.string()) }),
+  /** Carries blocks of parts of prompts; see `src/quarantine/PromptBlock.ts`. */
+  z.object({
+    kind: z.literal('promptBlocks'),
+    blocks: z.array(z.object({ part: z.string(), version: z.number(), isBlocked: z.boolean() })),
+  }),
   z.object({
     kind: z.literal('callStatus'),
     key: z.string(),
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -71,6 +71,11 @@
     droppedLines: counter('log_lines_dropped_total', 'Log lines dropped.', []),
     connections: counter('upstream_connections_total', 'Connections opened to upstreams.', []),
     membersHeard: gauge('members_heard', 'Live entry VMs with a recent heartbeat.', []),
+    blockedParts: gauge(
+      'blocked_prompt_parts',
+      'Parts of prompts whose requests are refused since they crash engines.',
+      [],
+    ),
     inFlight: gauge('requests_in_flight', 'In-flight requests on this VM.', []),
   };
 }
--- a/test/platform/truncatedResponse.test.ts
+++ b/test/platform/truncatedResponse.test.ts
@@ -220,6 +220,7 @@
         );
       },
       recordRequest: () => {},
+      tryGetPromptBlock: () => undefined,
       tryRetry: () => true,
       random: () => 0,
       log: () => {},
--- a/test/routed/serve.test.ts
+++ b/test/routed/serve.test.ts
@@ -319,6 +319,7 @@
                 request,
                 Infinity,
               ),
+        tryGetPromptBlock: () => undefined,
         tryRetry: () => hasRetryBudget,
         countRetry: () => {},
         log: () => {},
