An unframed stream that ends before its first event is lost, not complete

Found while the crashes at the begin of a response were mended: an engine that closes its connection right after the head of a response without length or chunks left its caller with an empty stream of 200, framed as complete. A stream that was resumed may rightly have no event left.

--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -116,6 +116,11 @@
         if (splitter?.isInsideEvent()) {
           return { kind: 'broken', reason: 'ended inside an event' };
         }
+        const isResumed =
+          request.lastEventId !== undefined || request.callerRequest.resumeAfter !== undefined;
+        if (splitter && !hasBegun && !isResumed && request.framing === 'connection') {
+          return { kind: 'lost', reason: 'ended before its first event' };
+        }
         writeHead(responseHead);
         forward(splitter?.getRemainder() ?? Buffer.alloc(0));
         request.response.end();
--- a/test/platform/truncatedResponse.test.ts
+++ b/test/platform/truncatedResponse.test.ts
@@ -57,6 +57,10 @@
       'inside an event, after a proper last chunk',
       { head: CHUNKED, body: `${toChunk(`${EVENTS[0]}id: 2\nda`)}0\r\n\r\n`, ending: 'close' },
     ],
+    [
+      'before its first event, without length or chunks',
+      { head: UNFRAMED, body: '', ending: 'close' },
+    ],
     ['inside a chunk', { head: CHUNKED, body: toChunk(EVENTS[0]).slice(0, -4), ending: 'close' }],
     ['between chunks', { head: CHUNKED, body: toChunk(EVENTS[0]), ending: 'close' }],
     ['by a reset, without length or chunks', { head: UNFRAMED, body: EVENTS[0], ending: 'reset' }],
