--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -32,6 +32,7 @@
 const MIN_PREFILL_WAIT_MS = 300;
 /** Used for routes without a pause objective. */
 const DEFAULT_PAUSE_OBJECTIVE_MS = 300;
+const MIN_REDIRECT_STATUS = 300;
 /** A response that has lasted this long did not end its engine when it began. */
 const MIN_BEGUN_MS = 250;
 
@@ -169,7 +170,8 @@
       host.log('upstreamSuspended', { upstream: upstream.id, cause: outcome.kind });
     }
     const lastedMs = (request.lastByteAt ?? now) - (beganAt ?? Infinity);
-    if (isEngine && (outcome.kind === 'done' || lastedMs >= MIN_BEGUN_MS)) {
+    const isServed = outcome.kind === 'done' && outcome.status < MIN_REDIRECT_STATUS;
+    if (isEngine && (isServed || lastedMs >= MIN_BEGUN_MS)) {
       host.recordServed(now, request.callerRequest.sharedPromptParts);
     } else if (isEngine && (outcome.kind === 'lost' || outcome.kind === 'broken')) {
       parts.crashDetector.checkEngine(upstream, request.callerRequest);
--- a/src/operators/createPromptBlockApp.ts
+++ b/src/operators/createPromptBlockApp.ts
@@ -21,13 +21,11 @@
   const app = new Hono();
   app.get('/prompt-blocks', (context) => {
     const now = host.now();
-    const blocks = host.promptGuard
-      .getBlocked()
-      .map(({ part, version, changedAt }) => ({
-        part,
-        version,
-        ageMs: Math.round(now - changedAt),
-      }));
+    const blocks = host.promptGuard.getBlocked().map(({ part, version, changedAt }) => ({
+      part,
+      version,
+      ageMs: Math.round(now - changedAt),
+    }));
     return context.json({ blocks });
   });
   app.delete('/prompt-blocks/:part', (context) => {
