A restarted engine keeps room for loads sent before its restart

Cause, found by reading: an engine that restarts under the same id counts its commands from 0, so that a load sent before, without an answer, is executed seconds later once the new count is the one that it expects. Its owner had dropped what it knew with the restart and filled all slots. It now keeps, per engine and for 15 s, the loads of earlier runs that got no answer, and reserves a slot for each expected count not yet passed. Not covered: another VM takes the engine over and it restarts, both within those seconds.

--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -48,7 +48,8 @@
   getUse(now: number, key: string): { inFlight: number; lastUsedAt: number };
   getVersion(key: string): number;
   getModels(): BaseModel[];
-  getAdapterSlots(): number;
+  /** Returns the slots that this owner may fill, given the engine's command count. */
+  getAdapterSlots(sequence: number): number;
   /** Returns how many loads may be in progress on this engine at once. */
   getMaxConcurrentLoads(): number;
   /** Publishes the engine's state; `requesters` wait for an adapter that is now resident. */
@@ -163,7 +164,7 @@
     const action = chooseEngineAction(now, {
       slots,
       loadRequests,
-      adapterSlots: host.getAdapterSlots(),
+      adapterSlots: host.getAdapterSlots(commandSender.getSequence()),
       maxConcurrentLoads: host.getMaxConcurrentLoads(),
       getUse: (key) => host.getUse(now, key),
       getVersion: host.getVersion,
--- a/src/engines/createOwnedEngines.ts
+++ b/src/engines/createOwnedEngines.ts
@@ -5,6 +5,7 @@
 import type Upstreams from '../upstream/Upstreams';
 import type Usage from '../usage/Usage';
 import createEngine from './createEngine';
+import createUnansweredLoads from './createUnansweredLoads';
 import type EngineControl from './EngineControl';
 import type EngineState from './EngineState';
 
@@ -34,6 +35,7 @@
 ) {
   const engines = new Map<string, ReturnType<typeof createEngine>>();
   const lastStates = new Map<string, EngineState>();
+  const unansweredLoads = new Map<string, ReturnType<typeof createUnansweredLoads>>();
   let stateSequence = 0;
 
   /** Starts to manage an engine. */
@@ -43,19 +45,39 @@
       return;
     }
 
+    removeExpiredLoads(host.now());
+    const { startedAt } = upstream;
+    const unanswered = unansweredLoads.get(id) ?? createUnansweredLoads();
+    unansweredLoads.set(id, unanswered);
     const getService = () => host.getEngineService(upstream.service);
     const engine = createEngine(
       {
         ...host,
-        sendCommand: (command, condition) =>
-          host.control.sendCommand(upstream, command, { ...condition, holder: options.address }),
+        sendCommand: async (command, condition) => {
+          const { expectedSequence } = condition;
+          const setAnswered =
+            command.kind === 'load'
+              ? unanswered.begin(host.now(), startedAt, expectedSequence)
+              : () => {};
+          const holder = options.address;
+          const result = await host.control.sendCommand(upstream, command, {
+            ...condition,
+            holder,
+          });
+          if (result.ok || result.error.kind !== 'noAnswer') {
+            setAnswered();
+          }
+          return result;
+        },
         getReport: () => host.control.getReport(upstream),
         tryGetFence: (now) => host.tryGetFence(now, id),
         getUse: (now, key) => parts.usage.getUse(now, id, key),
         getVersion: host.getVersion,
         getModels: () => getService()?.models ?? [],
         getMaxConcurrentLoads: () => host.getMaxConcurrentLoads(id),
-        getAdapterSlots: () => getService()?.adapterSlots ?? 0,
+        getAdapterSlots: (sequence) =>
+          (getService()?.adapterSlots ?? 0) -
+          unanswered.getPendingCount(host.now(), startedAt, sequence),
         announce,
         refuse: (request, reason) => {
           host.log('loadRefused', { engine: id, adapter: request.key, reason });
@@ -91,6 +113,15 @@
     host.announce(completeState, requesters);
   }
 
+  /** Removes the records of engines that have no load left that may be executed late. */
+  function removeExpiredLoads(now: number): void {
+    unansweredLoads.forEach((loads, id) => {
+      if (!engines.has(id) && loads.isExpired(now)) {
+        unansweredLoads.delete(id);
+      }
+    });
+  }
+
   /** Discards the state of an engine that has restarted under the same id and reads it again. */
   function reopenIfRestarted(upstream: Upstream): void {
     const engine = engines.get(upstream.id);
