Connections that a message or a response closes are dropped at once

A connection that undici was about to close could be taken as idle by the next message, which then failed as not sent. Messages say that they are the last on their connection; the client of plain services uses it.

--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -148,7 +148,7 @@
         head = responseHead;
         Object.assign(request, { framing: getResponseFraming(headers) });
         isStreaming = request.route.kind === 'stream' && isSuccess(status);
-        splitter = isStreaming && mayHoldEvents(headers) ? createEventSplitter() : undefined;
+        splitter = isStreaming && isEventStream(headers) ? createEventSplitter() : undefined;
         restartSilenceTimer();
       },
       onData: (chunk) => {
@@ -206,7 +206,7 @@
 }
 
 /** Returns whether a response consists of events: its content type says so, or is missing. */
-function mayHoldEvents(headers: Record<string, string | string[] | undefined>): boolean {
+function isEventStream(headers: Record<string, string | string[] | undefined>): boolean {
   const contentType = headers['content-type'];
   return contentType === undefined || String(contentType).startsWith(EVENT_STREAM_TYPE);
 }
--- a/src/upstream/createConnections.ts
+++ b/src/upstream/createConnections.ts
@@ -19,6 +19,8 @@
   path: string;
   headers: string[];
   body: Buffer | undefined;
+  /** Whether the connection is closed after the response, and not reused. */
+  isLast?: boolean;
 }
 
 interface Controls {
@@ -122,7 +124,7 @@
     let controller: Dispatcher.DispatchController | undefined;
     let isEnded = false;
     let isFramed = false;
-    let isClosing = false;
+    let isClosing = message.isLast ?? false;
     const end = (callback: () => void) => {
       if (!isEnded) {
         isEnded = true;
@@ -136,6 +138,7 @@
         path: message.path,
         headers: message.headers,
         body: message.body,
+        reset: message.isLast,
       },
       {
         onRequestStart: (startedController) => {
@@ -146,7 +149,7 @@
         },
         onResponseStart: (_, status, headers) => {
           isFramed = getResponseFraming(headers) !== 'connection';
-          isClosing = CLOSE_OPTION.test(String(headers.connection));
+          isClosing ||= CLOSE_OPTION.test(String(headers.connection));
           if (status >= 200) {
             connection.headEndsBefore = Infinity;
             if (!isEnded) {
--- a/src/upstream/createHttpServiceClient.ts
+++ b/src/upstream/createHttpServiceClient.ts
@@ -29,11 +29,9 @@
       const message = {
         method: request.method,
         path: request.path,
-        headers: [
-          ...['content-type', request.contentType, 'x-request-id', request.id],
-          ...['connection', 'close'],
-        ],
+        headers: ['content-type', request.contentType, 'x-request-id', request.id],
         body: request.body === '' ? undefined : Buffer.from(request.body),
+        isLast: true,
       };
       const controls = connections.send(address, message, MAX_CONNECTIONS, {
         onHead: (headStatus, headers) => {
--- a/test/platform/connections.test.ts
+++ b/test/platform/connections.test.ts
@@ -74,6 +74,27 @@
     connections.close();
   });
 
+  it('does not reuse a connection after a message that is its last, nor after a close option', async () => {
+    let connectionCount = 0;
+    let close = '';
+    const address = await listen(
+      (socket) => socket.write(`HTTP/1.1 200 OK\r\n${close}Content-Length: 2\r\n\r\nok`),
+      () => {
+        connectionCount += 1;
+      },
+    );
+    const connections = createConnections(() => {});
+    const whole = { kind: 'complete', body: 'ok' };
+    expect(await sendRequest(address, connections, { ...REQUEST, isLast: true })).to.deep.include(
+      whole,
+    );
+    close = 'Connection: close\r\n';
+    expect(await sendRequest(address, connections)).to.deep.include(whole);
+    expect(await sendRequest(address, connections)).to.deep.include(whole);
+    expect(connectionCount).to.equal(3);
+    connections.close();
+  });
+
   it('reports that nothing was sent if the upstream refuses the connection', async () => {
     const address = await listen(() => {});
     servers[0].close();
@@ -114,11 +135,12 @@
 function sendRequest(
   address: string,
   connections = createConnections(() => {}),
+  message: Parameters<typeof connections.send>[1] = REQUEST,
 ): Promise<ExchangeResult> {
   return new Promise((resolve) => {
     let status = 0;
     let body = '';
-    connections.send(address, REQUEST, 4, {
+    connections.send(address, message, 4, {
       onHead: (head) => {
         status = head;
       },
