--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -40,6 +40,15 @@
 };
 
 describe('decoding of the platform’s data', () => {
+  it('decodes the shared parts of a prompt, without its last and those without a proper id', () => {
+    const getParts = (prefix: string) =>
+      decodeCallerRequest('GET', '/', ['Request-Id', 'q', 'Prompt-Prefix', prefix], Buffer.alloc(0))
+        ?.sharedPromptParts;
+    expect(getParts('5C1e:80, 91bd:41,e440:2')).to.deep.equal(['5c1e', '91bd']);
+    expect(getParts(`:3,${'a'.repeat(65)}:1,b:2,c:3`)).to.deep.equal(['b']);
+    expect(getParts('')).to.deep.equal([]);
+  });
+
   it('decodes a server entry with the models that it holds', () => {
     const Models = [{ Name: 'm', Version: 1, Adapters: ['a1@2'] }];
     expect(decodeUpstream('i', JSON.stringify({ ...SERVER, Models }))).to.deep.equal({
