An adapter whose unload was executed late keeps its slot until that is confirmed

Cause: a read of the engine's report dropped every slot that the report does not list, also one whose unload waits for requests that still use the adapter. Such a slot is now kept until the repeated unload says that it is done. Reads after a conflict and after a doubt had the same cause.

--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -221,7 +221,15 @@
         slot.sentAtSequence === value.sequence &&
         !reportedKeys.has(slot.key),
     );
-    slots = [...residentSlots, ...loadingSlots, ...uncertainSlots];
+    // An unloaded adapter keeps its slot while requests use it, although reports need not list it;
+    // the repeated command returns `held` once the slot is free.
+    const leavingSlots = slots
+      .filter(
+        (slot) =>
+          slot.isUnloadSent && !reportedKeys.has(slot.key) && !uncertainSlots.includes(slot),
+      )
+      .map((slot) => ({ ...slot, state: 'leaving' as const, dueAt: readAt }));
+    slots = [...residentSlots, ...loadingSlots, ...uncertainSlots, ...leavingSlots];
     commandSender.setSequence(value.sequence);
     isStateCurrent = true;
     slots.forEach(({ key }) => recentlyHeld.add(key));
@@ -314,6 +322,7 @@
   async function unload(slot: AdapterSlot): Promise<number> {
     const [model, adapter] = slot.key.split('/');
     slot.state = 'leaving';
+    slot.isUnloadSent = true;
     slot.sentAtSequence = commandSender.getSequence();
     announce();
     const result = await commandSender.send('unload', {
@@ -432,5 +441,14 @@
   version: number,
   state: AdapterSlot['state'],
 ): AdapterSlot {
-  return { key, version, state, since: now, dueAt: now, sentAtSequence: undefined, requesters: [] };
+  return {
+    key,
+    version,
+    state,
+    since: now,
+    dueAt: now,
+    sentAtSequence: undefined,
+    isUnloadSent: false,
+    requesters: [],
+  };
 }
--- a/test/routed/engine.test.ts
+++ b/test/routed/engine.test.ts
@@ -86,6 +86,28 @@
     expect(fake.crashes).to.equal(0);
   });
 
+  it('keeps the slot of an adapter in use whose unload is executed late and not reported', async () => {
+    const { clock, engine, fake } = createTestEngine();
+    ['a1', 'a2', 'a3'].forEach((name) => requestLoad(engine, name));
+    await clock.advance(1500);
+    ['a1', 'a2', 'a3'].forEach((key) => fake.running.add(key));
+    fake.areUnloadsSilent = true;
+    requestLoad(engine, 'a4');
+    await clock.advance(LATE_COMMAND_MS);
+    fake.areUnloadsSilent = false;
+    for (let index = 5; index < 12; index += 1) {
+      requestLoad(engine, `a${index}`);
+      await clock.advance(500);
+    }
+    expect(fake.crashes).to.equal(0);
+    fake.running.clear();
+    await clock.advance(1500);
+    requestLoad(engine, 'a4');
+    await clock.advance(1500);
+    expect(fake.crashes).to.equal(0);
+    expect([...fake.resident.keys()]).to.include('a4');
+  });
+
   it('announces an unreachable engine and immediately refuses its load requests', async () => {
     const { clock, engine, fake, getState, refused } = createTestEngine();
     requestLoad(engine, 'a1');
@@ -154,6 +176,10 @@
     loseNextResponse: false,
     /** Adapters with requests in progress that the owner's usage counts do not include. */
     running: new Set<string>(),
+    /** Adapters that are unloaded once their requests have ended; reports do not list them. */
+    leaving: new Set<string>(),
+    /** Whether unloads get no response and are executed late. */
+    areUnloadsSilent: false,
     /** Whether the engine responds to no command and no report request. */
     isUnresponsive: false,
     /** Earlier states; reports are delayed by `REPORT_LAG_MS`. */
@@ -196,9 +222,13 @@
     } else if (command.kind === 'unload') {
       fake.sequence += 1;
       if (fake.running.has(key)) {
+        fake.resident.delete(key);
+        fake.leaving.add(key);
+        completeLoads();
         return { ok: true, value: 'accepted' };
       }
       fake.resident.delete(key);
+      fake.leaving.delete(key);
       completeLoads();
       return { ok: true, value: 'held' };
     } else if (fake.resident.has(key)) {
@@ -207,7 +237,7 @@
       fake.sequence += 1;
       fake.loading.set(key, clock.now() + LOAD_MS);
     }
-    if (fake.resident.size + fake.loading.size > ADAPTER_SLOTS) {
+    if (fake.resident.size + fake.loading.size + fake.leaving.size > ADAPTER_SLOTS) {
       fake.crashes += 1;
     }
     completeLoads();
@@ -222,6 +252,12 @@
         if (fake.isUnresponsive) {
           return { ok: false, error: { kind: 'noAnswer', reason: 'silent' } };
         }
+        if (fake.areUnloadsSilent && command.kind === 'unload') {
+          clock.setTimer(LATE_COMMAND_MS / 2, () =>
+            executeCommand(command, condition.expectedSequence),
+          );
+          return { ok: false, error: { kind: 'noAnswer', reason: 'lost' } };
+        }
         if (fake.loseNextResponse) {
           fake.loseNextResponse = false;
           fake.lostResponses += 1;
