--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -274,7 +274,16 @@
 }
 
 function createSlot(key: string, state: AdapterSlot['state'], dueAt = 99_999): AdapterSlot {
-  return { key, version: 1, state, since: 0, dueAt, sentAtSequence: undefined, requesters: [] };
+  return {
+    key,
+    version: 1,
+    state,
+    since: 0,
+    dueAt,
+    sentAtSequence: undefined,
+    isUnloadSent: false,
+    requesters: [],
+  };
 }
 
 function createLoadRequest(key: string, overrides: Partial<LoadRequest> = {}): LoadRequest {
