--- a/standins/createRelay.ts
+++ b/standins/createRelay.ts
@@ -3,6 +3,7 @@
 import type RelayMode from './RelayMode';
 
 const SLOW_DELAY_MS = 150;
+const CLOSE_DELAY_MS = 2 * SLOW_DELAY_MS;
 /** Time after which a relay whose target refuses connections tries it again. */
 const TARGET_CHECK_MS = 50;
 
@@ -30,7 +31,13 @@
     );
     pair.forEach((socket) => {
       socket.on('error', () => pair.forEach((other) => other.resetAndDestroy()));
-      socket.on('close', () => pairs.delete(pair));
+      socket.on('close', () =>
+        // The other side may still have delayed bytes and an end to write.
+        setTimeout(() => {
+          pair.forEach((other) => other.destroy());
+          pairs.delete(pair);
+        }, CLOSE_DELAY_MS),
+      );
     });
   });
   const [host, port] = listen.split(':');
