Responses' limits are decoded and logged

The logs could not tell a limit that nobody reads from one that each VM keeps by itself. decodeResponseHead decodes the limit (and no longer forwards its header, which is meant for VMs); upstreamLimited is logged at each change that a VM sees, and requestEnded names the limit of the upstream that its VM knew. No request is routed differently.

--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -30,6 +30,7 @@
 import createBroadcaster from '../broadcast/createBroadcaster';
 import createCrashDetector from '../quarantine/createCrashDetector';
 import createPromptGuard from '../quarantine/createPromptGuard';
+import createRateLimits from '../rateLimits/createRateLimits';
 import createUsage from '../usage/createUsage';
 import getUsageSource from '../usage/getUsageSource';
 import createUsagePublisher from '../usage/createUsagePublisher';
@@ -122,6 +123,7 @@
       engineStates.remove(id);
       health.remove(id);
       usage.remove(id);
+      rateLimits.remove(id);
       prefill.remove(id);
       engines.close(id);
     },
@@ -221,6 +223,10 @@
       );
     },
   });
+  const rateLimits = createRateLimits({
+    ...host,
+    setLimitCount: (count) => metrics.limitedUpstreams.set(count),
+  });
   const promptGuard = createPromptGuard({
     ...host,
     tryGetRecord: mirror.tryGet,
@@ -263,9 +269,10 @@
           }
         },
       },
-      { upstreams, usage, health, prefillClient, crashDetector },
+      { upstreams, usage, health, prefillClient, rateLimits, crashDetector },
     ),
     tryGetPromptBlock: promptGuard.tryGetBlock,
+    tryGetLimit: rateLimits.tryGet,
     recordRequest: retryBudget.recordRequest,
     tryRetry: retryBudget.tryTake,
     metrics,
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -49,6 +49,12 @@
     'The process of an engine has ended right after it began a response.',
   ),
   upstreamUnreadable: e(233, 'warn', 'The record of an upstream could not be decoded.'),
+  upstreamLimited: e(
+    235,
+    'info',
+    'The limit that an upstream states for requests of all VMs has changed.',
+  ),
+  limitUnreadable: e(236, 'warn', 'A response states a limit that could not be decoded.'),
   promptBlocked: e(
     250,
     'warn',
--- a/src/gateway/ResponseHead.ts
+++ b/src/gateway/ResponseHead.ts
@@ -1,3 +1,5 @@
+import type StatedLimit from './StatedLimit';
+
 /** Status and headers of an upstream's response. */
 interface ResponseHead {
   status: number;
@@ -7,6 +9,7 @@
   id: string | undefined;
   /** Whether the upstream states that it did not run the request. */
   isNotRun: boolean;
+  limit: StatedLimit;
 }
 
 export default ResponseHead;
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -3,6 +3,7 @@
 import type Service from '../manifest/Service';
 import type Clock from '../shared/Clock';
 import type createCrashDetector from '../quarantine/createCrashDetector';
+import type createRateLimits from '../rateLimits/createRateLimits';
 import type createPrefillClient from '../prefill/createPrefillClient';
 import getPrefillMs from '../prefill/getPrefillMs';
 import type createConnections from '../upstream/createConnections';
@@ -64,6 +65,7 @@
     usage: Pick<Usage, 'beginRequest'>;
     health: UpstreamHealth;
     prefillClient: ReturnType<typeof createPrefillClient>;
+    rateLimits: Pick<ReturnType<typeof createRateLimits>, 'observe' | 'tryGet'>;
     crashDetector: Pick<ReturnType<typeof createCrashDetector>, 'checkEngine'>;
   },
 ) {
@@ -112,11 +114,13 @@
       }
     }
     let beganAt: number | undefined;
+    let sentAt = host.now();
     const outcome = await sendAttempt(
       {
         ...host,
-        send: (deadlineMs, handler) =>
-          host.connections.send(
+        send: (deadlineMs, handler) => {
+          sentAt = host.now();
+          return host.connections.send(
             upstream.address,
             host.encodeRequest(request.callerRequest, {
               deadlineMs,
@@ -132,7 +136,9 @@
             }),
             maxConnections,
             handler,
-          ),
+          );
+        },
+        onHead: (now, head) => parts.rateLimits.observe(now, upstream, head, sentAt),
         onFirstByte: (now, head) => {
           beganAt ??= now;
           if (isEngine) {
--- a/src/gateway/createGateway.ts
+++ b/src/gateway/createGateway.ts
@@ -7,6 +7,7 @@
 import type Clock from '../shared/Clock';
 import type AttemptOutcome from './AttemptOutcome';
 import type CallerRequest from './CallerRequest';
+import type Upstream from '../upstream/Upstream';
 import type ActiveRequest from './ActiveRequest';
 import type Placement from './Placement';
 import type Refusal from './Refusal';
@@ -31,6 +32,8 @@
     now: number,
     parts: readonly string[],
   ): { part: string; endsInMs: number } | undefined;
+  /** Returns the requests a second that an upstream takes, if it states a limit. */
+  tryGetLimit(upstream: Upstream): number | undefined;
   recordRequest(now: number, service: string): void;
   tryRetry(now: number, service: string): boolean;
   /** Returns a number from 0 to 1. */
@@ -106,13 +109,13 @@
     inFlight += 1;
     host.metrics.inFlight.set(inFlight);
     host.metrics.requests.inc({ kind: request.route.kind });
-    let lastUpstream: string | undefined;
+    let lastUpstream: Upstream | undefined;
     let sentCount = 0;
     const outcome = await serveRequest(
       {
         ...host,
         attempt: (attemptedRequest, placement, isLast) => {
-          lastUpstream = placement.upstream.id;
+          lastUpstream = placement.upstream;
           sentCount += 1;
           return host.attempt(attemptedRequest, placement, isLast);
         },
@@ -139,7 +142,8 @@
       manifest: version,
       service: request.service,
       adapter: request.callerRequest.adapter,
-      upstream: lastUpstream,
+      upstream: lastUpstream?.id,
+      limit: lastUpstream && host.tryGetLimit(lastUpstream),
       sent: sentCount,
       framing: request.framing,
       partialEventBytes: request.partialEventBytes,
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -23,6 +23,7 @@
     handler: ResponseHandler,
   ): { abort(): void; pause(): void; resume(): void } | undefined;
   decodeHead(status: number, headers: Record<string, string | string[] | undefined>): ResponseHead;
+  onHead(now: number, head: ResponseHead): void;
   onFirstByte(now: number, head: ResponseHead): void;
 }
 
@@ -146,6 +147,7 @@
           return;
         }
         head = responseHead;
+        host.onHead(host.now(), responseHead);
         Object.assign(request, { framing: getResponseFraming(headers) });
         isStreaming = request.route.kind === 'stream' && isSuccess(status);
         splitter = isStreaming && isEventStream(headers) ? createEventSplitter() : undefined;
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -76,6 +76,11 @@
       'Parts of prompts whose requests are refused since they crash engines.',
       [],
     ),
+    limitedUpstreams: gauge(
+      'limited_upstreams',
+      'Upstreams that state a limit for requests of all VMs.',
+      [],
+    ),
     inFlight: gauge('requests_in_flight', 'In-flight requests on this VM.', []),
   };
 }
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -115,6 +115,17 @@
     expect(decodeResponseHead(503, {}).isNotRun).to.equal(false);
     expect(decodeResponseHead(429, {}).isNotRun).to.equal(false);
   });
+
+  it('decodes the limit that an upstream states, and does not forward it', () => {
+    const decode = (text: string) => decodeResponseHead(200, { 'server-limit': text });
+    expect(decode('1.8').limit).to.deep.equal({ kind: 'stated', perSecond: 1.8 });
+    expect(decode('0').limit).to.deep.equal({ kind: 'stated', perSecond: 0 });
+    expect(decode('1.8').headers).to.deep.equal([]);
+    expect(decodeResponseHead(200, {}).limit).to.deep.equal({ kind: 'none' });
+    ['', '-1', 'NaN', 'Infinity', '1.8.2', 'few', '0x10'].forEach((text) =>
+      expect(decode(text).limit).to.deep.equal({ kind: 'unreadable', text }),
+    );
+  });
 });
 
 describe('decoding and encoding of a caller’s request', () => {
--- a/test/platform/endlessResponse.test.ts
+++ b/test/platform/endlessResponse.test.ts
@@ -140,7 +140,14 @@
         };
         return { abort, pause: () => {}, resume: () => {} };
       },
-      decodeHead: (status) => ({ status, headers: [], id: undefined, isNotRun: false }),
+      decodeHead: (status) => ({
+        status,
+        headers: [],
+        id: undefined,
+        isNotRun: false,
+        limit: { kind: 'none' },
+      }),
+      onHead: () => {},
       onFirstByte: () => {},
     },
     request,
--- a/test/platform/truncatedResponse.test.ts
+++ b/test/platform/truncatedResponse.test.ts
@@ -203,6 +203,7 @@
         return sendAttempt(
           {
             ...CLOCK,
+            onHead: () => {},
             send: (deadlineMs, handler) =>
               connections.send(
                 upstream.address,
@@ -223,6 +224,7 @@
           Infinity,
         );
       },
+      tryGetLimit: () => undefined,
       recordRequest: () => {},
       tryGetPromptBlock: () => undefined,
       tryRetry: () => true,
