--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -6,6 +6,7 @@
 import type RoutedEntryHost from '../../src/entry/RoutedEntryHost';
 import type Change from '../../src/keyValue/Change';
 import type Manifest from '../../src/manifest/Manifest';
+import type Service from '../../src/manifest/Service';
 import compressFrame from '../../src/mesh/compressFrame';
 import createFrameReader from '../../src/mesh/createFrameReader';
 import encodeFrame from '../../src/mesh/encodeFrame';
@@ -25,6 +26,14 @@
 const MODEL = 'model257406';
 const ADAPTERS_PER_ENGINE = 11;
 const STREAM_MS = 1500;
+const CALL_SERVICE_MS = 50;
+
+/** How a call ended; `retryAfterMs` is 0 unless the response names a time to return. */
+interface CallResult {
+  status: number;
+  retryAfterMs: number;
+  ms: number;
+}
 
 type Fault = 'none' | 'refused' | 'silent';
 
@@ -37,6 +46,8 @@
   dataCentres?: string[];
   /** Engines that hold adapters from the start. */
   engines?: number;
+  /** Upstreams of a service that is not a model. */
+  desks?: number;
   /** Bytes that the outgoing link of a VM carries in a millisecond; unlimited if undefined. */
   linkBytesPerMs?: number;
 }) {
@@ -44,6 +55,7 @@
   const random = createRandom(1);
   const dataCentres = options.dataCentres ?? ['x', 'y', 'z'];
   const engines = Array.from({ length: options.engines ?? 0 }, (_, index) => createEngine(index));
+  const desks = Array.from({ length: options.desks ?? 0 }, (_, index) => createDesk(index));
   const store = createKeyValueStore();
   const addresses = Array.from({ length: options.vms }, (_, index) => `10.0.0.${index + 1}:7380`);
   const faults = new Map<string, Fault>();
@@ -53,10 +65,18 @@
   /** Messages that their receiver refused; the mesh would have ended the link. */
   const refusedMessages: string[] = [];
   const sentBytes = new Map<string, number>();
+  /** Limits that desks state, in requests a second. */
+  const limits = new Map<string, number>();
+  const arrivals: { at: number; vm: string; upstream: string }[] = [];
+  /** Number of the running process of each VM that was killed; others run their first one. */
+  const processes = new Map<string, number>();
+  let callCount = 0;
   const events: { at: number; vm: string; name: string; fields: Record<string, unknown> }[] = [];
   const vms = new Map(addresses.map((address, index) => [address, createVm(address, index)]));
 
   function createVm(address: string, index: number) {
+    const processNumber = processes.get(address) ?? 0;
+    const isRunning = () => (processes.get(address) ?? 0) === processNumber;
     const log: RoutedEntryHost['log'] = (name, fields = {}) =>
       events.push({ at: clock.now(), vm: address, name, fields });
     return createRoutedEntry(
@@ -71,24 +91,33 @@
             return { ok: true, value: { models, coming: [], sequence: 1, isBusy: false } };
           },
         },
-        connections: { send: (...[, , , handler]) => runStream(handler), getOpenCount: () => 0 },
+        connections: {
+          send: (upstreamAddress, _, __, handler) => {
+            const desk = desks.find((candidate) => candidate.address === upstreamAddress);
+            return desk && isRunning() ? runCall(address, desk, handler) : runStream(handler);
+          },
+          getOpenCount: () => 0,
+        },
         isConnectionRefused: async () => false,
         decodeChange,
         encodeRequest: () => ({ method: 'GET', path: '/', headers: [], body: undefined }),
-        decodeHead: (status) => ({
+        decodeHead: (status, headers) => ({
           status,
           headers: [],
           id: undefined,
           isNotRun: false,
-          limit: { kind: 'none' },
+          limit:
+            headers.limit === undefined
+              ? { kind: 'none' }
+              : { kind: 'stated', perSecond: Number(headers.limit) },
         }),
-        send: (to, message) => send(address, to, message),
+        send: (to, message) => isRunning() && send(address, to, message),
         getQueuedBytes: () => new Map(),
         redial: () => {},
         setPeers: () => {},
         random,
         getTimeOfDay: clock.now,
-        createNonce: () => address,
+        createNonce: () => `${address}#${processNumber}`,
         log,
       },
       {
@@ -112,6 +141,66 @@
     return { abort: cancel, pause: () => {}, resume: () => {} };
   }
 
+  function runCall(vm: string, desk: Upstream, handler: ResponseHandler) {
+    const arrival = clock.setTimer(LINK_DELAY_MS, () => {
+      arrivals.push({ at: clock.now(), vm, upstream: desk.id });
+    });
+    const response = clock.setTimer(CALL_SERVICE_MS, () => {
+      const limit = limits.get(desk.id);
+      handler.onHead(200, limit === undefined ? {} : { limit: String(limit) });
+      handler.onData(Buffer.from('done'));
+      handler.onEnd();
+    });
+    const abort = () => {
+      arrival();
+      response();
+    };
+    return { abort, pause: () => {}, resume: () => {} };
+  }
+
+  /** Sends a call to a desk by way of a VM; returns its response once it has ended. */
+  function sendCall(vm: string): Promise<CallResult> {
+    const sentAt = clock.now();
+    callCount += 1;
+    const request = { ...createRequest(callCount, ''), path: '/call/1', adapter: undefined };
+    return new Promise((resolve) => {
+      const result = { status: 0, retryAfterMs: 0 };
+      vms.get(vm)!.handle(request, {
+        ...responseWriter,
+        writeHead: (status, headers) => {
+          const retryAfter = headers.find(([name]) => name === 'retry-after')?.[1];
+          Object.assign(result, { status, retryAfterMs: Number(retryAfter ?? 0) * 1000 });
+        },
+        end: () => resolve({ ...result, ms: clock.now() - sentAt }),
+      });
+    });
+  }
+
+  /** Sends calls to desks by way of random VMs, at random times; returns a list that they fill. */
+  function sendCalls(perSecond: number, durationMs: number): CallResult[] {
+    const results: CallResult[] = [];
+    Array.from({ length: Math.round((perSecond * durationMs) / 1000) }, () =>
+      clock.setTimer(random() * durationMs, async () => {
+        results.push(await sendCall(addresses[Math.floor(random() * addresses.length)]));
+      }),
+    );
+    return results;
+  }
+
+  /** Ends the process of a VM and starts a new one after `downMs`. */
+  function restartVm(address: string, downMs: number): void {
+    processes.set(address, (processes.get(address) ?? 0) + 1);
+    vms.set(address, createVm(address, addresses.indexOf(address)));
+    clock.setTimer(downMs, () => vms.get(address)!.start());
+  }
+
+  function restartDesk(id: string): void {
+    const desk = desks.find((candidate) => candidate.id === id)!;
+    desk.startedAt += 1;
+    limits.delete(id);
+    put(`${UPSTREAM_PREFIX}${id}`, desk);
+  }
+
   /** Sends one stream request for a random resident adapter to each VM, at random times. */
   function sendRequests(perSecond: number, durationMs: number): void {
     const count = Math.round((vms.size * perSecond * durationMs) / 1000);
@@ -242,7 +331,7 @@
   /** Starts VMs, all by default, and waits until they know each other. */
   async function start(started: readonly string[] = addresses): Promise<void> {
     setManifest(1);
-    engines.forEach((engine) => put(`${UPSTREAM_PREFIX}${engine.id}`, engine));
+    [...engines, ...desks].forEach((engine) => put(`${UPSTREAM_PREFIX}${engine.id}`, engine));
     started.forEach((address) => vms.get(address)!.start());
     expireLeases();
     await clock.advance(6000);
@@ -262,6 +351,14 @@
     /** Makes the link between two VMs lose every message in one direction. */
     setLost: (from: string, to: string, isLost: boolean) =>
       isLost ? lostLinks.add(`${from}>${to}`) : lostLinks.delete(`${from}>${to}`),
+    arrivals,
+    sendCall,
+    sendCalls,
+    restartVm,
+    restartDesk,
+    /** Makes a desk state a limit, or none if `perSecond` is undefined. */
+    setLimit: (desk: string, perSecond: number | undefined) =>
+      perSecond === undefined ? limits.delete(desk) : limits.set(desk, perSecond),
     getSentBytes: (address: string) => sentBytes.get(address) ?? 0,
   };
 }
@@ -295,8 +392,22 @@
         isResumable: false,
         targets: [{ service: 'models', weight: 1 }],
       },
+      {
+        name: 'call',
+        host: 'fleet.example',
+        pathPrefix: '/call/',
+        kind: 'nonIdempotent',
+        timeoutMs: 10_000,
+        latencyObjectiveMs: 400,
+        pauseObjectiveMs: undefined,
+        attempts: 1,
+        urgency: 1,
+        isResumable: false,
+        targets: [{ service: 'desk', weight: 1 }],
+      },
     ],
-    services: new Map([
+    services: new Map<string, Service>([
+      ['desk', { name: 'desk', maxConnections: 500, engine: undefined }],
       [
         'models',
         {
@@ -345,6 +456,19 @@
   };
 }
 
+function createDesk(index: number): Upstream {
+  return {
+    id: `desk-${index + 1}`,
+    startedAt: 1,
+    service: 'desk',
+    address: `10.0.2.${index + 1}:8761`,
+    dataCentre: 'x',
+    state: 'ready',
+    slots: 16,
+    models: [],
+  };
+}
+
 function createRequest(index: number, adapter: string): CallerRequest {
   return {
     id: `request-${index}`,
