A VM that hears no other one takes no larger part of what all VMs share

The same cause elsewhere: retries and connections that a service allows to all VMs together were divided by the number of VMs that a VM hears. One that was cut off, or had just started, counted itself alone and took the whole: 1 instead of 3 VMs in the test, 5 s after its last heartbeat. They are now divided by the VMs that may be alive: heard ones and registered ones.

--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -252,10 +252,7 @@
     ...host,
     onCrash: (report) => promptGuard.reportCrash(host.now(), report),
   });
-  const retryBudget = createServiceRetryBudget(
-    (now) => members.getServing(now).length,
-    options.getRetryLimits,
-  );
+  const retryBudget = createServiceRetryBudget(members.getSharerCount, options.getRetryLimits);
   const gateway = createGateway({
     ...host,
     getManifest: () => manifest,
@@ -266,7 +263,7 @@
         tryGetPromptBlock: promptGuard.tryGetBlock,
         recordServed: promptGuard.recordSuccess,
         getService: (name) => manifest?.services.get(name),
-        getVmCount: (now) => members.getServing(now).length,
+        getVmCount: members.getSharerCount,
         endPrefill: (engine, id) => {
           const owner = tryGetOwner(engine);
           if (owner !== undefined) {
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -380,6 +380,14 @@
     return [...possible].filter((address) => !isGone(now, address));
   }
 
+  /**
+   * Returns the number of VMs, this one included, that may draw on what all VMs share: also those that
+   * this VM does not hear, as long as they may be alive.
+   */
+  function getSharerCount(now: number): number {
+    return getPossibleHolders(now).length + 1;
+  }
+
   /**
    * Returns whether this VM and the VMs with a recent heartbeat are more than half of all VMs:
    * this one, the registered ones and the live members that are not gone.
@@ -443,6 +451,7 @@
     getServing,
     getSettled,
     getPossibleHolders,
+    getSharerCount,
     hasMajority,
     canDeclareDead,
     isListedLeaving,
--- a/test/routed/outage.test.ts
+++ b/test/routed/outage.test.ts
@@ -43,6 +43,16 @@
   });
 });
 
+describe('getSharerCount', () => {
+  it('counts the VMs that one VM has ceased to hear, while they are registered', async () => {
+    const fixture = await createTestMembers();
+    expect(fixture.members.getSharerCount(fixture.clock.now())).to.equal(3);
+    await fixture.clock.advance(5000);
+    expect(fixture.members.getServing(fixture.clock.now())).to.have.length(1);
+    expect(fixture.members.getSharerCount(fixture.clock.now())).to.equal(3);
+  });
+});
+
 /** Creates one VM that receives heartbeats from two others; the key-value service can fail. */
 async function createTestMembers() {
   const clock = createVirtualClock();
