Permits of limited engines are left to adapters that no other engine holds

With two of six engines at 1.8 a second, permits went to requests that an engine without a limit could have served, and requests whose adapter lay on a limited engine alone were refused. An engine without a limit is now preferred up to four fifths of its slots. The stand-in no longer records the end of a limit that a server never stated, which made a case of the platform test divide by zero.

--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -23,6 +23,8 @@
  * within the latency objective.
  */
 const MAX_IN_FLIGHT_PER_SLOT = 1.1;
+/** An engine without a limit is preferred up to this part of its slots. */
+const MAX_PREFERRED_FILL = 0.8;
 /** Minimum time between two copies of adapters that this VM requests. */
 const MIN_COPY_INTERVAL_MS = 200;
 /** Less urgent than the loads that requests wait for, so copies are loaded after them. */
@@ -131,10 +133,15 @@
     const holders = ready.filter(
       ({ id }) => engineStates.isResident(id, key, version) && !isExcluded(id),
     );
-    const chosen = chooseUpstream(
-      getCandidates(now, holders, excludedUpstreams),
-      options.dataCentre,
-    );
+    const candidates = getCandidates(now, holders, excludedUpstreams);
+    // The permits of limited engines are left to requests whose adapter no other engine holds.
+    const unlimited = candidates.filter(({ id }) => !rateLimiting.isLimited(upstreams.tryGet(id)!));
+    const chosenUnlimited = chooseUpstream(unlimited, options.dataCentre);
+    const hasRoom =
+      chosenUnlimited !== undefined &&
+      !chosenUnlimited.isSuspended &&
+      chosenUnlimited.inFlight < chosenUnlimited.slots * MAX_PREFERRED_FILL;
+    const chosen = hasRoom ? chosenUnlimited : chooseUpstream(candidates, options.dataCentre);
     const upstream = chosen && upstreams.tryGet(chosen.id);
     if (!upstream) {
       return undefined;
--- a/standins/platform/main.ts
+++ b/standins/platform/main.ts
@@ -113,9 +113,10 @@
 process.on('SIGTERM', () => process.exit(0));
 
 function setLimit(server: string, perSecond: number | null): void {
-  if (perSecond === null) {
-    limits.delete(server);
-  } else {
+  if (perSecond === null && !limits.delete(server)) {
+    return;
+  }
+  if (perSecond !== null) {
     limits.set(server, perSecond);
   }
   record.limits.push({ at: Date.now(), server, perSecond });
