--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -508,6 +508,8 @@
     getInFlight: gateway.getInFlight,
     promptGuard,
     getLimits: () => manifest?.limits,
+    /** Returns the revision of the key-value service that this VM's mirror has. */
+    getRevision: mirror.getRevision,
     metrics,
   };
 }
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -31,6 +31,11 @@
   ),
   storeLost: e(210, 'warn', 'The key-value service has stopped responding.'),
   storeRegained: e(211, 'info', 'The key-value service responds again.'),
+  storeGeneration: e(
+    214,
+    'info',
+    'The key-value service states a new generation: it came back from an older copy, or was first read.',
+  ),
   changesMissed: e(212, 'warn', 'Changes of the key-value service did not reach this entry VM.'),
   changesRepaired: e(213, 'info', 'This entry VM has the changes that it had missed.'),
   manifestApplied: e(220, 'info', 'A new manifest is in force on this entry VM.'),
--- a/standins/platform/createKeyValueApp.ts
+++ b/standins/platform/createKeyValueApp.ts
@@ -23,6 +23,11 @@
 export default function createKeyValueApp(store: KeyValueStore, getFault: () => KeyValueFault) {
   const app = new Hono();
 
+  app.use(async (context, next) => {
+    await next();
+    context.header('Store-Era', String(store.getGeneration()));
+  });
+
   app.use(async (context, next) => {
     const fault = getFault();
     if (fault === 'down') {
--- a/standins/platform/createKeyValueStore.ts
+++ b/standins/platform/createKeyValueStore.ts
@@ -27,6 +27,7 @@
   let nextLease = 1;
   let compactedRevision = 0;
   let waiters: (() => void)[] = [];
+  let generation = 1;
 
   function write({ puts, removes }: Write): number {
     revision += 1;
@@ -90,9 +91,9 @@
     });
   }
 
-  /** Returns the changes after a revision, or undefined if these were compacted. */
+  /** Returns the changes after a revision, or undefined if the history does not have them. */
   function tryGetChanges(prefix: string, after: number): Change[] | undefined {
-    return after < compactedRevision
+    return after < compactedRevision || after > revision
       ? undefined
       : history.filter((change) => change.revision > after && change.key.startsWith(prefix));
   }
@@ -102,7 +103,24 @@
     history = [];
   }
 
+  /** Returns a function that brings back the present state, as an older copy does in a drill. */
+  function createCopy(): () => void {
+    const copy = { entries: [...entries], leases: [...leases], history: [...history], revision };
+    return () => {
+      entries.clear();
+      copy.entries.forEach(([key, entry]) => entries.set(key, entry));
+      leases.clear();
+      copy.leases.forEach(([id, lease]) => leases.set(id, { ...lease }));
+      history = [...copy.history];
+      revision = copy.revision;
+      nextLease = Math.max(0, ...leases.keys()) + 1;
+      generation += 1;
+    };
+  }
+
   return {
+    createCopy,
+    getGeneration: () => generation,
     write,
     writeIf,
     grantLease,
