Revisions and leases of the key-value service name one state again after a restore

Cause: revisions were taken as numbers that only grow and never name two states. A mirror ignored what was written under lower revisions after the return; leases and conditions could name those of others. Class: an identifier that is compared beyond the epoch in which it was given out.

A mirror that sees a new generation replaces its state as a whole and passes the whole on; what an operator or an upstream had confirmed (manifest, versions, a leaving upstream) is kept and repeated to VMs that start until it is written again.

--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -1,4 +1,4 @@
-import { match } from 'ts-pattern';
+import { match, P } from 'ts-pattern';
 import createEngineStates from '../engines/createEngineStates';
 import createOwnedEngines from '../engines/createOwnedEngines';
 import createPendingLoads from '../engines/createPendingLoads';
@@ -11,6 +11,7 @@
 import createServiceRetryBudget from '../gateway/createServiceRetryBudget';
 import type ResponseWriter from '../gateway/ResponseWriter';
 import type Change from '../keyValue/Change';
+import getGeneration from '../keyValue/getGeneration';
 import type Manifest from '../manifest/Manifest';
 import createMembers from '../members/createMembers';
 import createCongestionLog from '../mesh/createCongestionLog';
@@ -75,6 +76,7 @@
     broadcast: (batch) => broadcaster.broadcast({ kind: 'news', ...batch }),
     requestSnapshot: () => broadcaster.broadcastNearby({ kind: 'newsWanted' }),
     requestChanges,
+    isOutdated,
     onChange: applyChange,
   });
   const members = createMembers(
@@ -128,6 +130,7 @@
   const upstreams = createUpstreams({
     ...host,
     getKeyValueFailedAt: mirror.getFailedAt,
+    getKeyValueRestoredAt: mirror.getRestoredAt,
     onChange: (upstream) => {
       engineStates.applyRegistration(upstream);
       engines.reopenIfRestarted(upstream);
@@ -309,8 +312,36 @@
     return versions.get(key) ?? 0;
   }
 
-  function applyChange(now: number, change: Change): void {
-    promptGuard.receiveRecord(now, change.key, change.value);
+  /**
+   * Returns whether a change takes back what an operator or an upstream had confirmed: after a restore
+   * of the key-value service, until it is written again.
+   */
+  function isOutdated(change: Change, known: Change): boolean {
+    return match([host.decodeChange(known), host.decodeChange(change)])
+      .with([{ kind: 'manifest' }, { kind: 'manifest' }], ([before, after]) => {
+        const knownVersion = before.manifest?.version;
+        return knownVersion !== undefined && !((after.manifest?.version ?? -1) >= knownVersion);
+      })
+      .with(
+        [{ kind: 'version' }, { kind: 'version' }],
+        ([before, after]) => after.version < before.version,
+      )
+      .with([{ kind: 'upstream' }, { kind: 'upstream' }], ([{ upstream: before }, after]) =>
+        before && after.upstream
+          ? after.upstream.startedAt < before.startedAt ||
+            (after.upstream.startedAt === before.startedAt &&
+              before.state === 'leaving' &&
+              after.upstream.state === 'ready')
+          : false,
+      )
+      .with([P.union({ kind: 'manifest' }, { kind: 'version' }), { kind: 'other' }], () => true)
+      .otherwise(() => false);
+  }
+
+  function applyChange(now: number, change: Change, isForgotten: boolean): void {
+    if (!isForgotten) {
+      promptGuard.receiveRecord(now, change.key, change.value);
+    }
     match(host.decodeChange(change))
       .with({ kind: 'manifest' }, (decoded) => applyManifest(decoded.manifest, change.revision))
       .with({ kind: 'upstream' }, ({ id, upstream }) => {
@@ -370,7 +401,9 @@
       .with({ kind: 'news' }, (batch) => mirror.applyBatch(batch))
       .with({ kind: 'newsWanted' }, ({ afterRevision }) => {
         const batch =
-          afterRevision === undefined ? mirror.getSnapshot() : mirror.tryGetChanges(afterRevision);
+          afterRevision === undefined || getGeneration(afterRevision) < mirror.getGeneration()
+            ? mirror.getSnapshot()
+            : mirror.tryGetChanges(afterRevision);
         if (batch) {
           host.send(from, { kind: 'news', ...batch });
         }
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -36,6 +36,7 @@
     'info',
     'The key-value service states a new generation: it came back from an older copy, or was first read.',
   ),
+  storeRestored: e(215, 'warn', 'The key-value service came back from an older copy of its state.'),
   changesMissed: e(212, 'warn', 'Changes of the key-value service did not reach this entry VM.'),
   changesRepaired: e(213, 'info', 'This entry VM has the changes that it had missed.'),
   manifestApplied: e(220, 'info', 'A new manifest is in force on this entry VM.'),
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -78,6 +78,8 @@
   let lease: string | undefined;
   let leaseValidUntil = -Infinity;
   let leaseNumber = 0;
+  /** Time without a valid lease before the present one, in milliseconds. */
+  let leaseGapMs = Infinity;
   let repeaterStops: (() => void)[] = [];
   let startedAt = Infinity;
   let heartbeatCount = 0;
@@ -193,6 +195,7 @@
     });
     if (put.ok) {
       leaseNumber += 1;
+      leaseGapMs = Math.max(0, sentAt - leaseValidUntil);
       lease = granted.value;
       leaseValidUntil = sentAt + options.leaseSeconds * 1000;
     }
@@ -462,6 +465,7 @@
      * may belong to another VM by now.
      */
     getLeaseNumber: () => leaseNumber,
+    getLeaseGapMs: () => leaseGapMs,
     getMembers: () => [...members.values()],
     getCount: () => members.size,
     getUpstreamStates: () =>
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -190,6 +190,7 @@
     revision: z.number(),
     ageMs: z.number(),
     changes: z.array(Change),
+    isWhole: z.boolean().optional(),
   }),
   /**
    * Requests the changes after a revision from the receiver's mirror of the key-value service, or a
--- a/src/mirror/ChangeBatch.ts
+++ b/src/mirror/ChangeBatch.ts
@@ -7,6 +7,8 @@
   /** Time since the key-value service confirmed `revision`, in milliseconds. */
   ageMs: number;
   changes: Change[];
+  /** Whether keys that `changes` lacks do not exist; always set if a batch begins a generation. */
+  isWhole?: boolean;
 }
 
 export default ChangeBatch;
--- a/src/mirror/createMirror.ts
+++ b/src/mirror/createMirror.ts
@@ -1,5 +1,6 @@
 import type Log from '../events/Log';
 import type Change from '../keyValue/Change';
+import getGeneration from '../keyValue/getGeneration';
 import type ChangeFeed from '../keyValue/ChangeFeed';
 import type Clock from '../shared/Clock';
 import type ChangeBatch from './ChangeBatch';
@@ -35,7 +36,13 @@
   /** Requests a snapshot of the mirror from other VMs. */
   requestSnapshot(): void;
   requestChanges: Parameters<typeof createRepair>[0]['requestChanges'];
-  onChange(now: number, change: Change): void;
+  /**
+   * Returns whether the content of a change is older than what is known of its key, or missing though
+   * it was confirmed. Asked only after the service has come back from an older copy.
+   */
+  isOutdated(change: Change, known: Change): boolean;
+  /** `isForgotten`: the key was not removed; the service came back without it. */
+  onChange(now: number, change: Change, isForgotten: boolean): void;
   log: Log;
 }
 
@@ -53,6 +60,9 @@
   let isListingNeeded = true;
   /** Removals up to this revision may be unknown, so that changes before it can't be passed on. */
   let historyStart = 0;
+  let restoredAt = -Infinity;
+  /** Keys whose content is newer here than in the service since it came back from a copy. */
+  const retainedKeys = new Set<string>();
   let isStopped = false;
   const repair = createRepair(host, { overlapMs: REPAIR_OVERLAP_MS });
 
@@ -98,21 +108,29 @@
         }
         return false;
       }
+      if (hasOtherGeneration(page.value.revision, lowestRevision)) {
+        return false;
+      }
       page.value.changes.forEach((change) => listed.set(change.key, change));
       lowestRevision = Math.min(lowestRevision, page.value.revision);
       afterKey = page.value.changes.at(-1)?.key;
       hasMore = page.value.more && afterKey !== undefined;
     }
-    const removed = [...entries.values()]
-      .filter((entry) => entry.value !== undefined && !listed.has(entry.key))
-      .filter((entry) => entry.revision <= lowestRevision)
-      .map(({ key }) => ({ key, revision: lowestRevision, value: undefined }));
+    const removed = getMissing(new Set(listed.keys()), lowestRevision);
     listedAt = host.now();
     isListingNeeded = false;
     applyChanges([...listed.values(), ...removed], lowestRevision);
     return true;
   }
 
+  /** Returns the removals of all entries whose keys a complete state at a revision lacks. */
+  function getMissing(keys: ReadonlySet<string>, atRevision: number): Change[] {
+    return [...entries.values()]
+      .filter((entry) => entry.value !== undefined && !keys.has(entry.key))
+      .filter((entry) => entry.revision <= atRevision)
+      .map(({ key }) => ({ key, revision: atRevision, value: undefined }));
+  }
+
   /** Reads the changes after `revision`; returns the pause before the next run, in milliseconds. */
   async function follow(waitMs: number): Promise<number> {
     const result = await host.feed.follow({ prefix: '', afterRevision: revision, waitMs });
@@ -132,29 +150,80 @@
     confirmedAt = now;
     repair.closeGap(now, confirmedRevision);
     const fromRevision = revision;
-    const appliedChanges = changes.filter((change) => applyChange(now, change));
+    const isRestored = beginGenerationIfNew(now, confirmedRevision);
+    const appliedKeys = changes.filter((change) => applyChange(now, change)).map(({ key }) => key);
     revision = Math.max(revision, confirmedRevision);
     recordRevision(now);
-    if (host.isReader(now)) {
-      host.broadcast({ fromRevision, revision, ageMs: 0, changes: appliedChanges });
+    if (!host.isReader(now)) {
+      return;
+    }
+    if (isRestored) {
+      host.broadcast(getSnapshot()!);
+      return;
+    }
+    const sentKeys = new Set([...appliedKeys, ...retainedKeys]);
+    const sentChanges = [...sentKeys].map((key) => entries.get(key)!);
+    host.broadcast({ fromRevision, revision, ageMs: 0, changes: sentChanges });
+  }
+
+  /** Returns whether a revision is of another generation than `other`; false if that is infinite. */
+  function hasOtherGeneration(candidate: number, other: number): boolean {
+    return Number.isFinite(other) && getGeneration(candidate) !== getGeneration(other);
+  }
+
+  /** Records that the service has come back from an older copy; returns whether it has. */
+  function beginGenerationIfNew(now: number, newRevision: number): boolean {
+    if (revision === 0 || getGeneration(newRevision) <= getGeneration(revision)) {
+      return false;
     }
+    restoredAt = now;
+    historyStart = newRevision;
+    host.log('storeRestored', { generation: getGeneration(newRevision), revision, newRevision });
+    return true;
   }
 
-  /** Applies a change if it is newer than the entry; returns whether it was applied. */
+  /**
+   * Applies a change if it is newer than the entry; returns whether it was applied. Of a change with
+   * outdated content, only the revision is applied.
+   */
   function applyChange(now: number, change: Change): boolean {
     const current = entries.get(change.key);
-    if (current && current.revision >= change.revision) {
+    if (current && !isNewer(change, current)) {
       return false;
     }
+    const isNewGeneration =
+      current !== undefined && getGeneration(change.revision) > getGeneration(current.revision);
+    const isRetained =
+      current?.value !== undefined &&
+      (isNewGeneration || (retainedKeys.has(change.key) && change.value !== undefined)) &&
+      host.isOutdated(change, current);
     entries.delete(change.key);
+    if (isRetained) {
+      entries.set(change.key, { ...change, value: current.value });
+      retainedKeys.add(change.key);
+      return true;
+    }
     entries.set(change.key, change);
+    retainedKeys.delete(change.key);
     if (change.value === undefined) {
       removeOldestTombstone();
     }
-    host.onChange(now, change);
+    host.onChange(now, change, isNewGeneration && change.value === undefined);
     return true;
   }
 
+  /** Returns whether a change is newer than an entry; at one revision, newer content counts. */
+  function isNewer(change: Change, current: Change): boolean {
+    if (current.revision !== change.revision) {
+      return change.revision > current.revision;
+    }
+    return (
+      change.value !== undefined &&
+      change.value !== current.value &&
+      host.isOutdated(current, change)
+    );
+  }
+
   function removeOldestTombstone(): void {
     const tombstones = [...entries.values()].filter((entry) => entry.value === undefined);
     if (tombstones.length > MAX_TOMBSTONES) {
@@ -172,11 +241,16 @@
     if (batch.revision < revision) {
       return;
     }
-    if (batch.fromRevision > revision) {
+    const isOtherGeneration = revision > 0 && hasOtherGeneration(batch.revision, revision);
+    if (batch.fromRevision > revision || (isOtherGeneration && !batch.isWhole)) {
       repair.openGap(now, revision, batch.fromRevision);
       return;
     }
-    batch.changes.forEach((change) => applyChange(now, change));
+    beginGenerationIfNew(now, batch.revision);
+    const missing = batch.isWhole
+      ? getMissing(new Set(batch.changes.map(({ key }) => key)), batch.revision)
+      : [];
+    [...batch.changes, ...missing].forEach((change) => applyChange(now, change));
     revision = batch.revision;
     recordRevision(now);
     repair.closeGap(now, revision);
@@ -210,7 +284,7 @@
       return undefined;
     }
     const ageMs = Math.max(0, host.now() - confirmedAt);
-    return { fromRevision: 0, revision, ageMs, changes: [...entries.values()] };
+    return { fromRevision: 0, revision, ageMs, changes: [...entries.values()], isWhole: true };
   }
 
   /** Records the outcome of a call to the service, of any kind; `failure` is why it failed. */
@@ -256,10 +330,14 @@
         (entry) => entry.value !== undefined && entry.key.startsWith(prefix),
       ),
     getRevision: () => revision,
+    /** Returns the generation of the key-value service, which rises as it comes back from a copy. */
+    getGeneration: () => getGeneration(revision),
     getConfirmedAt: () => confirmedAt,
     /** Returns whether the service answers this VM's calls. */
     isServiceReachable: () => !isServiceDown,
-    /** Returns the time of the last failed call to the service, or -Infinity. */
-    getFailedAt: () => failedAt,
+    /** Returns the time of the last failed call to the service, or of its return from a copy. */
+    getFailedAt: () => Math.max(failedAt, restoredAt),
+    /** Returns when this VM learned that the service came back from a copy, or -Infinity. */
+    getRestoredAt: () => restoredAt,
   };
 }
--- a/test/platform/keyValueClient.test.ts
+++ b/test/platform/keyValueClient.test.ts
@@ -77,7 +77,7 @@
       client.transact({
         compare: [{ key: 'k', modRevision: 3 }],
         writes: [
-          { kind: 'put', key: 'k', value: 'v', lease: '12' },
+          { kind: 'put', key: 'k', value: 'v', lease: '0:12' },
           { kind: 'delete', key: 'old' },
         ],
         readOnFailure: [],
@@ -96,9 +96,9 @@
     const client = await createTestClient((_, response) =>
       response.writeHead(statuses.shift()!).end('{}'),
     );
-    expect(await client.keepLeaseAlive('1')).to.deep.equal({ ok: true, value: 1 });
-    expect(await client.keepLeaseAlive('1')).to.deep.equal({ ok: true, value: 0 });
-    expect(await client.keepLeaseAlive('1')).to.have.property('ok', false);
+    expect(await client.keepLeaseAlive('0:1')).to.deep.equal({ ok: true, value: 1 });
+    expect(await client.keepLeaseAlive('0:1')).to.deep.equal({ ok: true, value: 0 });
+    expect(await client.keepLeaseAlive('0:1')).to.have.property('ok', false);
   });
 
   async function createTestClient(handle: Handler) {
--- a/test/platform/restoredStore.test.ts
+++ b/test/platform/restoredStore.test.ts
@@ -97,6 +97,7 @@
       broadcast: () => {},
       requestSnapshot: () => {},
       requestChanges: () => false,
+      isOutdated: () => false,
       onChange: () => {},
       log: () => {},
     });
--- a/test/routed/mirror.test.ts
+++ b/test/routed/mirror.test.ts
@@ -189,6 +189,7 @@
       requestedRevisions.push(afterRevision);
       return false;
     },
+    isOutdated: () => false,
     onChange: () => {},
     log: () => {},
   });
