Owners of engines do not mix commands after the key-value service came back older

A restored record may name a former owner, or be missing, while the present owner goes on: the named one claimed at once as its own and sent commands beside the other. Ownerships of an earlier generation now end; a claim on a record that is older than the restore, or that may have been lost in it, waits for a takeover and 2 s more, until all VMs know; the owner that held the engine through the outage goes on at once under a higher fencing number. Records state their generation.

--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -1,4 +1,5 @@
 import type Log from '../events/Log';
+import getGeneration from '../keyValue/getGeneration';
 import type KeyValue from '../keyValue/KeyValue';
 import type Members from '../members/Members';
 import type Mirror from '../mirror/Mirror';
@@ -11,6 +12,13 @@
 const LEASE_MARGIN_MS = 300;
 /** Time after a start until the registrations of the other VMs have reached this one. */
 const STARTUP_SETTLE_MS = 2500;
+/** Time after a restore of the key-value service until every VM has learned of it. */
+const RESTORE_LAG_MS = 2000;
+/**
+ * An owner whose lease lapsed for less than this, since the service was away, goes on with its record:
+ * no other VM can have claimed the engine and waited until it may send commands.
+ */
+const MAX_LEASE_GAP_MS = 1000;
 const CLAIM_RETRY_MS = 500;
 /** When another VM's claim came first, its record reaches this VM's mirror within this time. */
 const REFUSED_CLAIM_RETRY_MS = 2000;
@@ -22,8 +30,11 @@
 
 interface OwnershipsHost extends Clock {
   keyValue: Pick<KeyValue, 'transact'>;
-  mirror: Pick<Mirror, 'tryGet' | 'getAll'>;
-  members: Pick<Members, 'hasLease' | 'getLeaseNumber' | 'isLeaseEndUnobserved' | 'isLeaving'>;
+  mirror: Pick<Mirror, 'tryGet' | 'getAll' | 'getGeneration' | 'getRestoredAt'>;
+  members: Pick<
+    Members,
+    'hasLease' | 'getLeaseNumber' | 'getLeaseGapMs' | 'isLeaseEndUnobserved' | 'isLeaving'
+  >;
   /** Returns the time of day; only its jumps relative to the steady clock matter. */
   getTimeOfDay(): number;
   /** Called once this VM is recorded as the owner of an engine. */
@@ -52,6 +63,8 @@
 ) {
   const owned = new Map<string, Ownership>();
   const claimAttemptedAt = new Map<string, number>();
+  /** Ownerships that ended as the key-value service came back from an older copy. */
+  const interrupted = new Map<string, Ownership>();
   /** Records whose write was confirmed to this VM, and the time from which it may send commands. */
   const writtenRecords = new Map<string, { revision: number; sendAfter: number }>();
   const startedAt = host.now();
@@ -67,7 +80,11 @@
     [...owned.keys()].forEach((engine) => {
       const record = tryGetRecord(engine);
       const isOwnRecord = record === undefined || record.holder === options.address;
-      if (owned.get(engine)!.leaseNumber !== host.members.getLeaseNumber()) {
+      const ownership = owned.get(engine)!;
+      if (getGeneration(ownership.fence) < host.mirror.getGeneration()) {
+        endOwnership(engine, 'store restored');
+        interrupted.set(engine, ownership);
+      } else if (owned.get(engine)!.leaseNumber !== host.members.getLeaseNumber()) {
         endOwnership(engine, 'registered anew');
       } else if (!isOwnRecord || !engines.includes(engine)) {
         endOwnership(engine, isOwnRecord ? 'engine gone' : 'taken by another');
@@ -133,12 +150,15 @@
       record.incarnation === incarnation &&
       record.revision !== writtenRecords.get(engine)?.revision;
     const leaseNumber = host.members.getLeaseNumber();
+    const generation = host.mirror.getGeneration();
     const response = await host.keyValue.transact({
       compare: [
         { key, modRevision: record?.revision ?? 0 },
         ...(isOwnedByOther ? [{ key: `${MEMBER_PREFIX}${record.holder}`, modRevision: 0 }] : []),
       ],
-      writes: [{ kind: 'put', key, value: JSON.stringify({ holder: address, incarnation }) }],
+      writes: [
+        { kind: 'put', key, value: JSON.stringify({ holder: address, incarnation, generation }) },
+      ],
       readOnFailure: [],
     });
     const now = host.now();
@@ -154,10 +174,11 @@
       return;
     }
     const fence = response.value.revision;
-    const sendAfter =
-      isOwnedByOther || isFromUnansweredClaim
-        ? now + options.leaseMs + LEASE_MARGIN_MS
-        : Math.max(now, writtenRecords.get(engine)?.sendAfter ?? now);
+    const sendAfter = getSendAfter(now, engine, record, {
+      isOwnedByOther,
+      isFromUnansweredClaim,
+    });
+    interrupted.delete(engine);
     writtenRecords.set(engine, { revision: fence, sendAfter });
     owned.set(engine, { fence, leaseNumber, sendAfter });
     host.log('engineTaken', {
@@ -169,6 +190,34 @@
     host.onAcquired(engine, fence);
   }
 
+  /** Returns the time from which this VM may send commands under a claim that was confirmed. */
+  function getSendAfter(
+    now: number,
+    engine: string,
+    record: ReturnType<typeof tryGetRecord>,
+    former: { isOwnedByOther: boolean; isFromUnansweredClaim: boolean },
+  ): number {
+    const takeoverAt = now + options.leaseMs + LEASE_MARGIN_MS;
+    const held = interrupted.get(engine);
+    if (held && !former.isOwnedByOther && host.members.getLeaseGapMs() < MAX_LEASE_GAP_MS) {
+      return Math.max(now, held.sendAfter);
+    }
+    if (record && record.generation < host.mirror.getGeneration()) {
+      // The record is older than the restore: another VM may have owned the engine since then.
+      return takeoverAt + RESTORE_LAG_MS;
+    }
+    if (former.isOwnedByOther || former.isFromUnansweredClaim) {
+      return takeoverAt;
+    }
+    const isRestorePossible = !record && host.mirror.getGeneration() > 0;
+    const knownSince = Math.max(host.mirror.getRestoredAt(), startedAt);
+    return Math.max(
+      now,
+      writtenRecords.get(engine)?.sendAfter ?? now,
+      isRestorePossible ? knownSince + options.leaseMs + RESTORE_LAG_MS : now,
+    );
+  }
+
   function endOwnership(engine: string, reason: string): void {
     host.log('engineGivenUp', { engine, fence: owned.get(engine)?.fence, reason });
     owned.delete(engine);
@@ -184,6 +233,7 @@
     if (ownership && ownership.fence < fence) {
       endOwnership(engine, 'claimed by another');
     }
+    interrupted.delete(engine);
   }
 
   function tryGetRecord(engine: string) {
@@ -191,8 +241,12 @@
     if (entry?.value === undefined) {
       return undefined;
     }
-    const { holder, incarnation } = JSON.parse(entry.value) as Record<string, string>;
-    return { holder, incarnation, revision: entry.revision };
+    const {
+      holder,
+      incarnation,
+      generation = 0,
+    } = JSON.parse(entry.value) as { holder: string; incarnation: string; generation?: number };
+    return { holder, incarnation, generation, revision: entry.revision };
   }
 
   /**
@@ -202,7 +256,15 @@
   function tryGetFence(now: number, engine: string): number | undefined {
     const ownership = owned.get(engine);
     const hasOldLease = ownership?.leaseNumber !== host.members.getLeaseNumber();
-    if (!ownership || hasOldLease || now < ownership.sendAfter || hasClockJumped(now)) {
+    const isRestored =
+      ownership !== undefined && getGeneration(ownership.fence) < host.mirror.getGeneration();
+    if (
+      !ownership ||
+      hasOldLease ||
+      isRestored ||
+      now < ownership.sendAfter ||
+      hasClockJumped(now)
+    ) {
       return undefined;
     }
     const canSend =
--- a/test/routed/ownerships.test.ts
+++ b/test/routed/ownerships.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import REVISIONS_PER_GENERATION from '../../src/keyValue/REVISIONS_PER_GENERATION';
 import createOwnerships from '../../src/engines/createOwnerships';
 import type KeyValueTransaction from '../../src/keyValue/KeyValueTransaction';
 import createVirtualClock from '../scenario/createVirtualClock';
@@ -84,6 +85,60 @@
     expect(fixture.getFence(vm, 'e1')).to.equal(undefined);
   });
 
+  it('does not pass back at once to a former owner that an older copy of the records names', async () => {
+    const fixture = createTestVms(3);
+    await fixture.run(4000);
+    const [former] = fixture.getOwners('e1');
+    const restore = fixture.createCopy();
+    fixture.killVm(former);
+    await fixture.run(8000);
+    const [owner] = fixture.getOwners('e1');
+    expect(owner).not.to.equal(former);
+    fixture.restartVm(former);
+    await fixture.run(4000);
+    // The present owner learns of the restore later than the others.
+    fixture.setMirror(owner, 'frozen');
+    restore();
+    let ownedUntil = fixture.clock.now();
+    for (let elapsedMs = 0; elapsedMs < 1500; elapsedMs += 250) {
+      await fixture.run(250);
+      expect(fixture.getOwners('e1')).to.deep.equal([owner]);
+      ownedUntil = fixture.clock.now();
+    }
+    fixture.setMirror(owner, 'current');
+    while (fixture.getOwners('e1').join() !== former) {
+      await fixture.run(250);
+      expect(fixture.getOwners('e1').filter((vm) => vm !== former)).to.deep.equal([]);
+    }
+    expect(fixture.clock.now() - ownedUntil).to.be.at.least(LEASE_MS);
+  });
+
+  it('goes on after a restore that names the present owner, with a higher fencing number', async () => {
+    const fixture = createTestVms(3);
+    await fixture.run(4000);
+    const [owner] = fixture.getOwners('e1');
+    const fence = fixture.getFence(owner, 'e1')!;
+    const restore = fixture.createCopy();
+    await fixture.run(4000);
+    restore();
+    await fixture.run(1500);
+    expect(fixture.getOwners('e1')).to.deep.equal([owner]);
+    expect(fixture.getFence(owner, 'e1')).to.be.greaterThan(fence);
+  });
+
+  it('ends on all VMs if a restore has lost its record, until one may send commands', async () => {
+    const fixture = createTestVms(3);
+    const restore = fixture.createCopy();
+    await fixture.run(8000);
+    const [owner] = fixture.getOwners('e1');
+    restore();
+    await fixture.run(500);
+    const owners = fixture.getOwners('e1');
+    expect(owners.filter((vm) => vm !== owner)).to.deep.equal([]);
+    await fixture.run(8000);
+    expect(fixture.getOwners('e1')).to.have.length(1);
+  });
+
   it('waits after a claim without a response as long as after one with a response', async () => {
     const fixture = createTestVms(2);
     await fixture.run(4000);
@@ -132,6 +187,7 @@
   leaseNumber: number;
   /** The state of this VM's mirror while it receives no changes; undefined while it is current. */
   frozenMirror: Map<string, { key: string; revision: number; value: string }> | undefined;
+  frozenGeneration: number | undefined;
   suspendedMs: number;
   ownerships: ReturnType<typeof createOwnerships>;
 }
@@ -149,6 +205,8 @@
     entries.set(key, { key, revision, value });
     return revision;
   };
+  let generation = 0;
+  let restoredAt = -Infinity;
   const transact = async ({ compare, writes }: KeyValueTransaction) => {
     const isMet = compare.every((row) => (entries.get(row.key)?.revision ?? 0) === row.modRevision);
     if (isMet) {
@@ -166,6 +224,7 @@
       leaseUntil: Infinity,
       leaseNumber: 1,
       frozenMirror: undefined,
+      frozenGeneration: undefined,
       suspendedMs: 0,
     };
     const ownerships = createOwnerships(
@@ -174,12 +233,15 @@
         keyValue: { transact },
         mirror: {
           tryGet: (key) => (vm.frozenMirror ?? entries).get(key),
+          getGeneration: () => vm.frozenGeneration ?? generation,
+          getRestoredAt: () => restoredAt,
           getAll: (prefix) =>
             [...(vm.frozenMirror ?? entries).values()].filter(({ key }) => key.startsWith(prefix)),
         },
         members: {
           hasLease: (at) => at < vm.leaseUntil,
           getLeaseNumber: () => vm.leaseNumber,
+          getLeaseGapMs: () => 0,
           isLeaseEndUnobserved: () => false,
           isLeaving: () => false,
         },
@@ -224,7 +286,9 @@
       loseResponsesUntil = clock.now() + forMs;
     },
     setMirror: (vm: string, mode: 'current' | 'frozen') => {
-      vms.get(vm)!.frozenMirror = mode === 'frozen' ? new Map(entries) : undefined;
+      const isFrozen = mode === 'frozen';
+      vms.get(vm)!.frozenMirror = isFrozen ? new Map(entries) : undefined;
+      vms.get(vm)!.frozenGeneration = isFrozen ? generation : undefined;
     },
     loseLease: (vm: string) => {
       vms.get(vm)!.leaseUntil = -Infinity;
@@ -234,6 +298,18 @@
       Object.assign(vms.get(vm)!, { leaseUntil: Infinity, leaseNumber: 2 });
       put(`/baobablink/members/${vm}`, '{}');
     },
+    /** Returns a function that brings the present records back, as a restore does. */
+    createCopy: () => {
+      const copy = new Map(entries);
+      return () => {
+        generation += 1;
+        restoredAt = clock.now();
+        revision = generation * REVISIONS_PER_GENERATION;
+        entries.clear();
+        copy.forEach(({ key, value }) => put(key, value));
+        vms.forEach((vm, address) => vm.isAlive && put(`/baobablink/members/${address}`, '{}'));
+      };
+    },
     removeVm: (vm: string) => vms.delete(vm),
     restartVm: startVm,
   };
