Soak: the key-value service comes back from older copies, twice a run

The wait of claims without a record applies only after a restore: in the first generation it delayed the first loads of each start.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -24,6 +24,10 @@
 const CONTACT_MS = 3000;
 /** One in this many seeds also plays servers that state limits. */
 const LIMITED_SEEDS = 3;
+/** One in this many seeds also plays a key-value service that comes back from older copies. */
+const RESTORED_SEEDS = 4;
+const MAX_OLDER_MS = 9000;
+const MAX_AWAY_MS = 2500;
 const ADAPTERS = 24;
 
 const cli = meow(
@@ -77,6 +81,7 @@
   await Promise.all([
     faults.run(seconds * 1000, 900),
     seed % LIMITED_SEEDS === 0 ? limitFaults.run() : undefined,
+    seed % RESTORED_SEEDS === 1 ? restoreStore(trial, seed, note) : undefined,
   ]);
   note('all faults are over');
   const isRecovered = await waitUntilServed(trial, callers, seed);
@@ -130,6 +135,27 @@
   return violations;
 }
 
+/** Brings the key-value service back from an older copy, twice during a run. */
+async function restoreStore(
+  trial: ReturnType<typeof createPlatformTrial>,
+  seed: number,
+  note: (text: string) => void,
+): Promise<void> {
+  const random = createRandom(seed + 2);
+  for (let round = 0; round < 2; round += 1) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, (random() * seconds * 1000) / 2);
+    });
+    const olderByMs = random() * MAX_OLDER_MS;
+    const awayMs = random() * MAX_AWAY_MS;
+    note(`the store is away for ${awayMs} ms and comes back older by ${olderByMs} ms`);
+    await trial.post('restore', { olderByMs, awayMs });
+    await new Promise((resolve) => {
+      setTimeout(resolve, awayMs);
+    });
+  }
+}
+
 /** Returns the part of all limits that requests took; undefined if no server stated one. */
 function getUsedShare(limitUses: ReturnType<typeof getLimitUses>): number | undefined {
   const allowed = limitUses.reduce((sum, use) => sum + use.allowed, 0);
--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -19,6 +19,8 @@
  * no other VM can have claimed the engine and waited until it may send commands.
  */
 const MAX_LEASE_GAP_MS = 1000;
+/** Generation of a key-value service that has never come back from a copy. */
+const FIRST_GENERATION = 1;
 const CLAIM_RETRY_MS = 500;
 /** When another VM's claim came first, its record reaches this VM's mirror within this time. */
 const REFUSED_CLAIM_RETRY_MS = 2000;
@@ -209,7 +211,7 @@
     if (former.isOwnedByOther || former.isFromUnansweredClaim) {
       return takeoverAt;
     }
-    const isRestorePossible = !record && host.mirror.getGeneration() > 0;
+    const isRestorePossible = !record && host.mirror.getGeneration() > FIRST_GENERATION;
     const knownSince = Math.max(host.mirror.getRestoredAt(), startedAt);
     return Math.max(
       now,
--- a/standins/platform/main.ts
+++ b/standins/platform/main.ts
@@ -18,6 +18,10 @@
 import type KeyValueFault from './KeyValueFault';
 
 const LEASE_CHECK_MS = 100;
+const COPY_INTERVAL_MS = 500;
+const MAX_COPIES = 24;
+/** Time after a restore at which operators and servers write again what the store has lost. */
+const REWRITE_MS = 800;
 
 const { config } = readArguments({ config: '' });
 
@@ -33,6 +37,7 @@
   orders: {},
 };
 const versions = new Map<string, number>();
+const written = new Map<string, unknown>();
 const faults: { store: KeyValueFault; servers: Record<string, ServerFault> } = {
   store: 'none',
   servers: {},
@@ -76,9 +81,21 @@
   register(server, modelServer.getModels());
 });
 
-const keyValueApp = createKeyValueApp(store, () => faults.store);
+let isRestoring = false;
+const keyValueApp = createKeyValueApp(store, () => (isRestoring ? 'down' : faults.store));
 listen(createAdaptorServer({ fetch: keyValueApp.fetch }) as http.Server, layout.store);
-setInterval(() => faults.store !== 'down' && store.expire(Date.now()), LEASE_CHECK_MS);
+setInterval(
+  () => faults.store !== 'down' && !isRestoring && store.expire(Date.now()),
+  LEASE_CHECK_MS,
+);
+/** Copies of the store, the oldest first. */
+const copies: (() => void)[] = [];
+setInterval(() => {
+  if (!isRestoring) {
+    copies.push(store.createCopy());
+    copies.splice(0, copies.length - MAX_COPIES);
+  }
+}, COPY_INTERVAL_MS);
 
 const control = new Hono();
 control.get('/ledger', (context) => context.json(record));
@@ -99,6 +116,17 @@
   store.compactHistory();
   return context.body(null, 200);
 });
+control.post('/restore', async (context) => {
+  const { awayMs, olderByMs } = await context.req.json<{ awayMs: number; olderByMs: number }>();
+  const restore = copies[Math.max(0, copies.length - Math.ceil(olderByMs / COPY_INTERVAL_MS))];
+  isRestoring = true;
+  setTimeout(() => {
+    restore();
+    isRestoring = false;
+    setTimeout(() => written.forEach((value, key) => put(key, value)), REWRITE_MS);
+  }, awayMs);
+  return context.body(null, 200);
+});
 control.post('/manifest', async (context) => {
   const manifest: unknown = await context.req.json();
   return context.json({ revision: put('op/config', manifest) });
@@ -136,7 +164,9 @@
   });
 }
 
+/** Writes what operators and servers store, which they write again after a restore. */
 function put(key: string, value: unknown): number {
+  written.set(key, value);
   const text = Buffer.from(JSON.stringify(value)).toString('base64');
   return store.write({ puts: [{ key, value: text, lease: 0 }], removes: [] });
 }
--- a/test/routed/ownerships.test.ts
+++ b/test/routed/ownerships.test.ts
@@ -205,7 +205,7 @@
     entries.set(key, { key, revision, value });
     return revision;
   };
-  let generation = 0;
+  let generation = 1;
   let restoredAt = -Infinity;
   const transact = async ({ compare, writes }: KeyValueTransaction) => {
     const isMet = compare.every((row) => (entries.get(row.key)?.revision ?? 0) === row.modRevision);
