--- a/test/routed/ownerships.test.ts
+++ b/test/routed/ownerships.test.ts
@@ -197,7 +197,7 @@
   const clock = createVirtualClock();
   const entries = new Map<string, { key: string; revision: number; value: string }>();
   const vms = new Map<string, TestVm>();
-  let revision = 10;
+  let revision = REVISIONS_PER_GENERATION + 10;
   let loseResponsesUntil = -Infinity;
 
   const put = (key: string, value: string) => {
