--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -253,7 +253,11 @@
   });
   const crashDetector = createCrashDetector({
     ...host,
-    onCrash: (report) => promptGuard.reportCrash(host.now(), report),
+    onCrash: (report) => {
+      if (report.parts.length > 0) {
+        promptGuard.reportCrash(host.now(), report);
+      }
+    },
   });
   const retryBudget = createServiceRetryBudget(members.getSharerCount, options.getRetryLimits);
   const gateway = createGateway({
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -52,7 +52,7 @@
   upstreamEnded: e(
     234,
     'warn',
-    'The process of an engine has ended right after it began a response.',
+    'The process of an upstream has ended before it responded to a request, or right after it began to.',
   ),
   upstreamUnreadable: e(233, 'warn', 'The record of an upstream could not be decoded.'),
   upstreamLimited: e(
--- a/src/gateway/CallerRequest.ts
+++ b/src/gateway/CallerRequest.ts
@@ -6,6 +6,8 @@
   /** Path and query as the caller sent them. */
   path: string;
   host: string;
+  /** Identity that the caller states; undefined if it states none. */
+  caller: string | undefined;
   /** Headers that are forwarded to the upstream unchanged. */
   headers: [string, string][];
   /** Time that the caller waits for the response; undefined if it states none. */
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -66,7 +66,7 @@
     health: UpstreamHealth;
     prefillClient: ReturnType<typeof createPrefillClient>;
     rateLimiting: Pick<RateLimiting, 'isLimited' | 'acquire' | 'observe'>;
-    crashDetector: Pick<ReturnType<typeof createCrashDetector>, 'checkEngine'>;
+    crashDetector: Pick<ReturnType<typeof createCrashDetector>, 'checkUpstream'>;
   },
 ) {
   return async function attempt(
@@ -189,8 +189,8 @@
     const isServed = outcome.kind === 'done' && outcome.status < MIN_REDIRECT_STATUS;
     if (isEngine && (isServed || lastedMs >= MIN_BEGUN_MS)) {
       host.recordServed(now, request.callerRequest.sharedPromptParts);
-    } else if (isEngine && (outcome.kind === 'lost' || outcome.kind === 'broken')) {
-      parts.crashDetector.checkEngine(upstream, request.callerRequest);
+    } else if (!isServed && (outcome.kind === 'lost' || outcome.kind === 'broken')) {
+      parts.crashDetector.checkUpstream(upstream, request.callerRequest, sentAt);
     }
     if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream' && isEngine) {
       host.reportMissingAdapter(upstream.id, adapterKey);
--- a/src/gateway/createGateway.ts
+++ b/src/gateway/createGateway.ts
@@ -3,6 +3,7 @@
 import type Manifest from '../manifest/Manifest';
 import pickTarget from '../manifest/pickTarget';
 import tryGetRoute from '../manifest/tryGetRoute';
+import getRequestKey from '../quarantine/getRequestKey';
 import type Result from '../shared/Result';
 import type Clock from '../shared/Clock';
 import type AttemptOutcome from './AttemptOutcome';
@@ -151,6 +152,7 @@
       firstMs: request.firstByteAt && Math.round(request.firstByteAt - request.arrivedAt),
       tokens: request.callerRequest.promptTokens,
       parts: kind === 'answered' ? undefined : request.callerRequest.sharedPromptParts,
+      key: kind === 'answered' ? undefined : getRequestKey(request.callerRequest),
       turnMs: Math.round(request.prefillWaitMs),
       pauseMs: Math.round(request.longestPauseMs),
     });
--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -475,6 +475,7 @@
     method: 'POST',
     path: '/chat/1',
     host: 'fleet.example',
+    caller: undefined,
     headers: [],
     deadlineMs: 10_000,
     model: MODEL,
--- a/test/routed/serve.test.ts
+++ b/test/routed/serve.test.ts
@@ -201,6 +201,7 @@
       method: 'POST',
       path: '/x',
       host: 'h',
+      caller: undefined,
       headers: [],
       deadlineMs: undefined,
       model: undefined,
