--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -16,6 +16,7 @@
 import type Upstream from '../../src/upstream/Upstream';
 import createKeyValueStore from '../../standins/platform/createKeyValueStore';
 import createVirtualClock from '../scenario/createVirtualClock';
+import createTestDesks from './createTestDesks';
 
 const CALL_MS = 4;
 const LINK_DELAY_MS = 1;
@@ -26,10 +27,10 @@
 const MODEL = 'model257406';
 const ADAPTERS_PER_ENGINE = 11;
 const STREAM_MS = 1500;
-const CALL_SERVICE_MS = 50;
 
 /** How a call ended; `retryAfterMs` is 0 unless the response names a time to return. */
 interface CallResult {
+  sentAt: number;
   status: number;
   retryAfterMs: number;
   ms: number;
@@ -48,6 +49,8 @@
   engines?: number;
   /** Upstreams of a service that is not a model. */
   desks?: number;
+  /** Returns whether a request crashes each desk that runs it; by default none does. */
+  isCrashing?: (path: string) => boolean;
   /** Bytes that the outgoing link of a VM carries in a millisecond; unlimited if undefined. */
   linkBytesPerMs?: number;
 }) {
@@ -55,8 +58,15 @@
   const random = createRandom(1);
   const dataCentres = options.dataCentres ?? ['x', 'y', 'z'];
   const engines = Array.from({ length: options.engines ?? 0 }, (_, index) => createEngine(index));
-  const desks = Array.from({ length: options.desks ?? 0 }, (_, index) => createDesk(index));
   const store = createKeyValueStore();
+  const desks = createTestDesks(
+    {
+      ...clock,
+      register: (id, desk) => (desk ? put(`${UPSTREAM_PREFIX}${id}`, desk) : remove(id)),
+      isCrashing: options.isCrashing ?? (() => false),
+    },
+    options.desks ?? 0,
+  );
   const addresses = Array.from({ length: options.vms }, (_, index) => `10.0.0.${index + 1}:7380`);
   const faults = new Map<string, Fault>();
   const lostLinks = new Set<string>();
@@ -65,9 +75,6 @@
   /** Messages that their receiver refused; the mesh would have ended the link. */
   const refusedMessages: string[] = [];
   const sentBytes = new Map<string, number>();
-  /** Limits that desks state, in requests a second. */
-  const limits = new Map<string, number>();
-  const arrivals: { at: number; vm: string; upstream: string }[] = [];
   /** Number of the running process of each VM that was killed; others run their first one. */
   const processes = new Map<string, number>();
   let callCount = 0;
@@ -92,20 +99,27 @@
           },
         },
         connections: {
-          send: (upstreamAddress, _, __, handler) => {
-            const desk = desks.find((candidate) => candidate.address === upstreamAddress);
-            return desk && isRunning() ? runCall(address, desk, handler) : runStream(handler);
+          send: (upstreamAddress, { path, headers: [id] }, _, handler) => {
+            const desk = desks.tryGet(upstreamAddress);
+            return desk && isRunning()
+              ? desks.run(address, desk, id, path, handler)
+              : runStream(handler);
           },
           getOpenCount: () => 0,
         },
-        isConnectionRefused: async () => false,
+        isConnectionRefused: async (upstreamAddress) => desks.isDown(upstreamAddress),
         decodeChange,
-        encodeRequest: () => ({ method: 'GET', path: '/', headers: [], body: undefined }),
+        encodeRequest: ({ method, path }, { upstream }) => ({
+          method,
+          path,
+          headers: [upstream],
+          body: undefined,
+        }),
         decodeHead: (status, headers) => ({
           status,
           headers: [],
           id: undefined,
-          isNotRun: false,
+          isNotRun: status === 421,
           limit:
             headers.limit === undefined
               ? { kind: 'none' }
@@ -141,28 +155,11 @@
     return { abort: cancel, pause: () => {}, resume: () => {} };
   }
 
-  function runCall(vm: string, desk: Upstream, handler: ResponseHandler) {
-    const arrival = clock.setTimer(LINK_DELAY_MS, () => {
-      arrivals.push({ at: clock.now(), vm, upstream: desk.id });
-    });
-    const response = clock.setTimer(CALL_SERVICE_MS, () => {
-      const limit = limits.get(desk.id);
-      handler.onHead(200, limit === undefined ? {} : { limit: String(limit) });
-      handler.onData(Buffer.from('done'));
-      handler.onEnd();
-    });
-    const abort = () => {
-      arrival();
-      response();
-    };
-    return { abort, pause: () => {}, resume: () => {} };
-  }
-
   /** Sends a call to a desk by way of a VM; returns its response once it has ended. */
-  function sendCall(vm: string): Promise<CallResult> {
+  function sendCall(vm: string, path = '/call/1'): Promise<CallResult> {
     const sentAt = clock.now();
     callCount += 1;
-    const request = { ...createRequest(callCount, ''), path: '/call/1', adapter: undefined };
+    const request = { ...createRequest(callCount, ''), path, adapter: undefined };
     return new Promise((resolve) => {
       const result = { status: 0, retryAfterMs: 0 };
       vms.get(vm)!.handle(request, {
@@ -171,17 +168,22 @@
           const retryAfter = headers.find(([name]) => name === 'retry-after')?.[1];
           Object.assign(result, { status, retryAfterMs: Number(retryAfter ?? 0) * 1000 });
         },
-        end: () => resolve({ ...result, ms: clock.now() - sentAt }),
+        end: () => resolve({ ...result, sentAt, ms: clock.now() - sentAt }),
       });
     });
   }
 
   /** Sends calls to desks by way of random VMs, at random times; returns a list that they fill. */
-  function sendCalls(perSecond: number, durationMs: number): CallResult[] {
+  function sendCalls(
+    perSecond: number,
+    durationMs: number,
+    getPath: (index: number) => string = () => '/call/1',
+  ): CallResult[] {
     const results: CallResult[] = [];
-    Array.from({ length: Math.round((perSecond * durationMs) / 1000) }, () =>
+    Array.from({ length: Math.round((perSecond * durationMs) / 1000) }, (_, index) =>
       clock.setTimer(random() * durationMs, async () => {
-        results.push(await sendCall(addresses[Math.floor(random() * addresses.length)]));
+        const vm = addresses[Math.floor(random() * addresses.length)];
+        results.push(await sendCall(vm, getPath(index)));
       }),
     );
     return results;
@@ -194,13 +196,6 @@
     clock.setTimer(downMs, () => vms.get(address)!.start());
   }
 
-  function restartDesk(id: string): void {
-    const desk = desks.find((candidate) => candidate.id === id)!;
-    desk.startedAt += 1;
-    limits.delete(id);
-    put(`${UPSTREAM_PREFIX}${id}`, desk);
-  }
-
   /** Sends one stream request for a random resident adapter to each VM, at random times. */
   function sendRequests(perSecond: number, durationMs: number): void {
     const count = Math.round((vms.size * perSecond * durationMs) / 1000);
@@ -311,6 +306,10 @@
     store.write({ puts: [{ key, value: JSON.stringify(value), lease: 0 }], removes: [] });
   }
 
+  function remove(id: string): void {
+    store.write({ puts: [], removes: [`${UPSTREAM_PREFIX}${id}`] });
+  }
+
   function setManifest(version: number): void {
     put(MANIFEST_KEY, { version });
   }
@@ -331,7 +330,8 @@
   /** Starts VMs, all by default, and waits until they know each other. */
   async function start(started: readonly string[] = addresses): Promise<void> {
     setManifest(1);
-    [...engines, ...desks].forEach((engine) => put(`${UPSTREAM_PREFIX}${engine.id}`, engine));
+    engines.forEach((engine) => put(`${UPSTREAM_PREFIX}${engine.id}`, engine));
+    desks.registerAll();
     started.forEach((address) => vms.get(address)!.start());
     expireLeases();
     await clock.advance(6000);
@@ -351,14 +351,10 @@
     /** Makes the link between two VMs lose every message in one direction. */
     setLost: (from: string, to: string, isLost: boolean) =>
       isLost ? lostLinks.add(`${from}>${to}`) : lostLinks.delete(`${from}>${to}`),
-    arrivals,
+    desks,
     sendCall,
     sendCalls,
     restartVm,
-    restartDesk,
-    /** Makes a desk state a limit, or none if `perSecond` is undefined. */
-    setLimit: (desk: string, perSecond: number | undefined) =>
-      perSecond === undefined ? limits.delete(desk) : limits.set(desk, perSecond),
     getSentBytes: (address: string) => sentBytes.get(address) ?? 0,
   };
 }
@@ -405,6 +401,19 @@
         isResumable: false,
         targets: [{ service: 'desk', weight: 1 }],
       },
+      {
+        name: 'look',
+        host: 'fleet.example',
+        pathPrefix: '/look/',
+        kind: 'idempotent',
+        timeoutMs: 4000,
+        latencyObjectiveMs: 400,
+        pauseObjectiveMs: undefined,
+        attempts: 2,
+        urgency: 1,
+        isResumable: false,
+        targets: [{ service: 'desk', weight: 1 }],
+      },
     ],
     services: new Map<string, Service>([
       ['desk', { name: 'desk', maxConnections: 500, engine: undefined }],
@@ -456,19 +465,6 @@
   };
 }
 
-function createDesk(index: number): Upstream {
-  return {
-    id: `desk-${index + 1}`,
-    startedAt: 1,
-    service: 'desk',
-    address: `10.0.2.${index + 1}:8761`,
-    dataCentre: 'x',
-    state: 'ready',
-    slots: 16,
-    models: [],
-  };
-}
-
 function createRequest(index: number, adapter: string): CallerRequest {
   return {
     id: `request-${index}`,
--- a/test/fleet/limits.test.ts
+++ b/test/fleet/limits.test.ts
@@ -21,7 +21,7 @@
         await fleet.start();
         const results = fleet.sendCalls(Math.max(100, perSecond * 5), 16_000);
         await fleet.clock.advance(1000);
-        fleet.setLimit('desk-1', perSecond);
+        fleet.desks.setLimit('desk-1', perSecond);
         const statedAt = fleet.clock.now();
         await fleet.clock.advance(16_000);
         expectLimitKept(fleet, 'desk-1', perSecond, statedAt);
@@ -35,8 +35,8 @@
     const fleet = createTestFleet({ vms: 8, desks: 2 });
     await fleet.start();
     const results = fleet.sendCalls(30, 15_000);
-    fleet.setLimit('desk-1', 1.8);
-    fleet.setLimit('desk-2', 4);
+    fleet.desks.setLimit('desk-1', 1.8);
+    fleet.desks.setLimit('desk-2', 4);
     const statedAt = fleet.clock.now();
     await fleet.clock.advance(16_000);
     expectLimitKept(fleet, 'desk-1', 1.8, statedAt);
@@ -54,7 +54,7 @@
   it('let refused callers be served who return at the stated time', async () => {
     const fleet = createTestFleet({ vms: 8, desks: 1 });
     await fleet.start();
-    fleet.setLimit('desk-1', 2);
+    fleet.desks.setLimit('desk-1', 2);
     fleet.sendCalls(2, 8000);
     await fleet.clock.advance(9000);
     const attemptCounts: number[] = [];
@@ -80,7 +80,7 @@
     const fleet = createTestFleet({ vms: 8, desks: 2 });
     const late = fleet.addresses.at(-1)!;
     await fleet.start(fleet.addresses.slice(0, -1));
-    fleet.setLimit('desk-1', 1.8);
+    fleet.desks.setLimit('desk-1', 1.8);
     fleet.sendCalls(20, 500);
     await fleet.clock.advance(1000);
     const startedAt = fleet.clock.now();
@@ -95,7 +95,7 @@
     await fleet.start();
     fleet.sendCalls(60, 40_000);
     await fleet.clock.advance(1000);
-    fleet.setLimit('desk-1', 10);
+    fleet.desks.setLimit('desk-1', 10);
     const statedAt = fleet.clock.now();
     await fleet.clock.advance(4000);
     for (const vm of fleet.addresses) {
@@ -115,22 +115,22 @@
       await fleet.clock.advance(forMs);
       return countArrivals(fleet, 'desk-1', since, fleet.clock.now()) / (forMs / 1000);
     };
-    fleet.setLimit('desk-1', 2);
+    fleet.desks.setLimit('desk-1', 2);
     await fleet.clock.advance(5000);
     expect(await getRate(4000)).to.be.within(1.5, 3 + 1.25);
-    fleet.setLimit('desk-1', 20);
+    fleet.desks.setLimit('desk-1', 20);
     await fleet.clock.advance(2000);
     expect(await getRate(4000)).to.be.within(15, 30);
-    fleet.setLimit('desk-1', 1);
+    fleet.desks.setLimit('desk-1', 1);
     await fleet.clock.advance(2000);
     expect(await getRate(4000)).to.be.at.most(1.5 + 1.25);
-    fleet.setLimit('desk-1', undefined);
+    fleet.desks.setLimit('desk-1', undefined);
     await fleet.clock.advance(3000);
     expect(await getRate(2000)).to.be.greaterThan(30);
-    fleet.setLimit('desk-1', 0);
+    fleet.desks.setLimit('desk-1', 0);
     await fleet.clock.advance(CONTACT_MS);
     expect(await getRate(4000)).to.be.at.most(1.25);
-    fleet.restartDesk('desk-1');
+    fleet.desks.restart('desk-1');
     await fleet.clock.advance(1000);
     expect(await getRate(2000)).to.be.greaterThan(30);
   });
@@ -139,9 +139,9 @@
     const fleet = createTestFleet({ vms: 8, desks: 1 });
     await fleet.start();
     fleet.sendCalls(20, 40_000);
-    fleet.setLimit('desk-1', 0);
+    fleet.desks.setLimit('desk-1', 0);
     await fleet.clock.advance(8000);
-    fleet.setLimit('desk-1', undefined);
+    fleet.desks.setLimit('desk-1', undefined);
     await fleet.clock.advance(12_000);
     const since = fleet.clock.now();
     await fleet.clock.advance(2000);
@@ -150,14 +150,15 @@
 });
 
 function countArrivals(fleet: Fleet, desk: string, from: number, to: number): number {
-  return fleet.arrivals.filter(({ upstream, at }) => upstream === desk && at >= from && at < to)
-    .length;
+  return fleet.desks.arrivals.filter(
+    ({ upstream, at }) => upstream === desk && at >= from && at < to,
+  ).length;
 }
 
 /** Expects that no window after the contact time has more arrivals than the contract allows. */
 function expectLimitKept(fleet: Fleet, desk: string, perSecond: number, statedAt: number): void {
   const allowed = (EXCESS_RATIO * perSecond * WINDOW_MS) / 1000 + EXCESS_REQUESTS;
-  const most = fleet.arrivals
+  const most = fleet.desks.arrivals
     .filter(({ upstream, at }) => upstream === desk && at >= statedAt + CONTACT_MS)
     .map(({ at }) => countArrivals(fleet, desk, at, at + WINDOW_MS))
     .reduce((left, right) => Math.max(left, right), 0);
