Requests that crash one upstream after the other are refused by all VMs

Callers of a plain service saw 502 and 503 for as long as such a request came back: each VM counted failures by upstream, and only shared parts of prompts at engines were looked at across VMs. A request as a whole is now one more trait that can explain crashes, last behind the parts of its prompt, for every service: one mechanism finds, announces, records and lifts both. A request that is served is cleared of earlier crashes on all VMs. A VM reports a crash once, with all requests that it lost there.

--- a/scripts/platform/createCallers.ts
+++ b/scripts/platform/createCallers.ts
@@ -188,8 +188,8 @@
             addViolation(`began on a version older than ${version}`);
           }
         });
-      if (result.body.includes('promptBlocked') && !result.isCrashing) {
-        addViolation('refused as a prompt that crashes servers');
+      if (result.body.includes('"blocked"') && !result.isCrashing) {
+        addViolation('refused as a request that crashes servers');
       }
       if (result.status === 404 || result.status === 400) {
         addViolation('a valid request was refused as invalid');
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -30,7 +30,7 @@
 import type PrefillState from '../prefill/PrefillState';
 import createBroadcaster from '../broadcast/createBroadcaster';
 import createCrashDetector from '../quarantine/createCrashDetector';
-import createPromptGuard from '../quarantine/createPromptGuard';
+import createCrashGuard from '../quarantine/createCrashGuard';
 import createRateLimiting from '../rateLimits/createRateLimiting';
 import createUsage from '../usage/createUsage';
 import getUsageSource from '../usage/getUsageSource';
@@ -48,7 +48,7 @@
 const PERMIT_ISSUER_INTERVAL_MS = 250;
 /** Interval at which limits of upstreams are repeated, for VMs that missed them. */
 const LIMITS_INTERVAL_MS = 1000;
-/** Interval at which blocks of prompts are repeated, for VMs that missed them. */
+/** Interval at which blocks are repeated, for VMs that missed them. */
 const BLOCKS_INTERVAL_MS = 1000;
 /** Characters that are logged of a registration that can't be decoded. */
 const MAX_LOGGED_LENGTH = 200;
@@ -242,22 +242,18 @@
       );
     },
   });
-  const promptGuard = createPromptGuard({
+  const crashGuard = createCrashGuard({
     ...host,
     tryGetRecord: mirror.tryGet,
     isWriter: isReader,
     isHub: (now) => broadcaster.getHub(now) === address,
     broadcast: broadcaster.broadcast,
     broadcastNearby: broadcaster.broadcastNearby,
-    setBlockCount: (count) => metrics.blockedParts.set(count),
+    setBlockCount: (count) => metrics.blocks.set(count),
   });
   const crashDetector = createCrashDetector({
     ...host,
-    onCrash: (report) => {
-      if (report.parts.length > 0) {
-        promptGuard.reportCrash(host.now(), report);
-      }
-    },
+    onCrash: (report) => crashGuard.reportCrash(host.now(), report),
   });
   const retryBudget = createServiceRetryBudget(members.getSharerCount, options.getRetryLimits);
   const gateway = createGateway({
@@ -267,8 +263,9 @@
     attempt: createAttempts(
       {
         ...host,
-        tryGetPromptBlock: promptGuard.tryGetBlock,
-        recordServed: promptGuard.recordSuccess,
+        tryGetBlock: crashGuard.tryGetBlock,
+        recordServed: crashGuard.recordServed,
+        recordBegun: crashGuard.recordBegun,
         getService: (name) => manifest?.services.get(name),
         getVmCount: members.getSharerCount,
         endPrefill: (engine, id) => {
@@ -287,7 +284,7 @@
       },
       { upstreams, usage, health, prefillClient, rateLimiting, crashDetector },
     ),
-    tryGetPromptBlock: promptGuard.tryGetBlock,
+    tryGetBlock: crashGuard.tryGetBlock,
     tryGetLimit: rateLimiting.tryGet,
     recordRequest: retryBudget.recordRequest,
     tryRetry: retryBudget.tryTake,
@@ -344,7 +341,7 @@
 
   function applyChange(now: number, change: Change, isForgotten: boolean): void {
     if (!isForgotten) {
-      promptGuard.receiveRecord(now, change.key, change.value);
+      crashGuard.receiveRecord(now, change.key, change.value);
     }
     match(host.decodeChange(change))
       .with({ kind: 'manifest' }, (decoded) => applyManifest(decoded.manifest, change.revision))
@@ -471,8 +468,9 @@
       .with({ kind: 'upstreamLimits' }, ({ statements }) => rateLimiting.receive(now, statements))
       .with({ kind: 'permitWanted' }, (wanted) => rateLimiting.handleRequest(from, wanted))
       .with({ kind: 'permit' }, ({ id, ...reply }) => rateLimiting.handleReply(id, reply))
-      .with({ kind: 'engineCrash' }, (report) => promptGuard.receiveCrash(now, report))
-      .with({ kind: 'promptBlocks' }, ({ blocks }) => promptGuard.receiveBlocks(now, blocks))
+      .with({ kind: 'upstreamCrash' }, (report) => crashGuard.receiveCrash(now, report))
+      .with({ kind: 'requestServed' }, ({ trait }) => crashGuard.receiveServed(now, trait))
+      .with({ kind: 'blocks' }, ({ blocks }) => crashGuard.receiveBlocks(now, blocks))
       .with({ kind: 'engineDoubted' }, ({ engine }) => engines.tryGet(engine)?.invalidateState())
       .otherwise(({ kind }) => host.log('messageDropped', { from, kind }));
   }
@@ -496,7 +494,7 @@
     runPeriodically(host, PERMIT_ISSUER_INTERVAL_MS, () => rateLimiting.refresh(host.now()));
     runPeriodically(host, LIMITS_INTERVAL_MS, () => rateLimiting.publish(host.now()));
     runPeriodically(host, STATES_INTERVAL_MS, () => engines.announceStates());
-    runPeriodically(host, BLOCKS_INTERVAL_MS, () => promptGuard.publish(host.now()));
+    runPeriodically(host, BLOCKS_INTERVAL_MS, () => crashGuard.publish(host.now()));
   }
 
   function getEngineIds(): string[] {
@@ -543,7 +541,7 @@
       gateway.handle(host.now(), callerRequest, response),
     refuse: gateway.refuse,
     getInFlight: gateway.getInFlight,
-    promptGuard,
+    crashGuard,
     getLimits: () => manifest?.limits,
     /** Returns the revision of the key-value service that this VM's mirror has. */
     getRevision: mirror.getRevision,
--- a/src/gateway/Refusal.ts
+++ b/src/gateway/Refusal.ts
@@ -13,8 +13,8 @@
       seen?: CapacityDetails;
     }
   | { kind: 'deadline'; retryAfterMs: number }
-  /** A part of the prompt crashes engines; no engine will run the request until the block ends. */
-  | { kind: 'promptBlocked'; part: string; retryAfterMs: number };
+  /** A trait of the request crashes upstreams; none will run it until the block ends. */
+  | { kind: 'blocked'; trait: string; retryAfterMs: number };
 
 /** State that led to a refusal for lack of capacity; written to the log. */
 interface CapacityDetails {
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -34,7 +34,7 @@
 /** Used for routes without a pause objective. */
 const DEFAULT_PAUSE_OBJECTIVE_MS = 300;
 const MIN_REDIRECT_STATUS = 300;
-/** A response that has lasted this long did not end its engine when it began. */
+/** A response that has lasted this long did not end its upstream when it began. */
 const MIN_BEGUN_MS = 250;
 
 interface AttemptsHost extends Clock {
@@ -51,9 +51,12 @@
   endPrefill(engine: string, id: string): void;
   /** Reports that an engine did not hold an adapter that was announced as resident there. */
   reportMissingAdapter(engine: string, key: string): void;
-  tryGetPromptBlock(now: number, parts: readonly string[]): unknown;
-  /** Reports that an engine served a request, or at least did not end as it began to. */
-  recordServed(now: number, parts: readonly string[]): void;
+  /** Returns a block if requests like this one crash upstreams. */
+  tryGetBlock(now: number, request: CallerRequest): unknown;
+  /** Reports that an upstream served a request. */
+  recordServed(now: number, request: CallerRequest): void;
+  /** Reports that an upstream did not end as it began to respond. */
+  recordBegun(now: number, request: CallerRequest): void;
   log: Log;
 }
 
@@ -123,8 +126,8 @@
     if (parts.upstreams.tryGet(upstream.id)?.state !== 'ready') {
       return endUnsent({ kind: 'notSent', reason: 'upstreamLeft' });
     }
-    if (isEngine && host.tryGetPromptBlock(host.now(), request.callerRequest.sharedPromptParts)) {
-      return endUnsent({ kind: 'notSent', reason: 'promptBlocked' });
+    if (host.tryGetBlock(host.now(), request.callerRequest)) {
+      return endUnsent({ kind: 'notSent', reason: 'blocked' });
     }
     let beganAt: number | undefined;
     let sentAt = host.now();
@@ -187,9 +190,11 @@
     }
     const lastedMs = (request.lastByteAt ?? now) - (beganAt ?? Infinity);
     const isServed = outcome.kind === 'done' && outcome.status < MIN_REDIRECT_STATUS;
-    if (isEngine && (isServed || lastedMs >= MIN_BEGUN_MS)) {
-      host.recordServed(now, request.callerRequest.sharedPromptParts);
-    } else if (!isServed && (outcome.kind === 'lost' || outcome.kind === 'broken')) {
+    if (isServed) {
+      host.recordServed(now, request.callerRequest);
+    } else if (lastedMs >= MIN_BEGUN_MS) {
+      host.recordBegun(now, request.callerRequest);
+    } else if (outcome.kind === 'lost' || outcome.kind === 'broken') {
       parts.crashDetector.checkUpstream(upstream, request.callerRequest, sentAt);
     }
     if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream' && isEngine) {
--- a/src/gateway/createGateway.ts
+++ b/src/gateway/createGateway.ts
@@ -3,7 +3,7 @@
 import type Manifest from '../manifest/Manifest';
 import pickTarget from '../manifest/pickTarget';
 import tryGetRoute from '../manifest/tryGetRoute';
-import getRequestKey from '../quarantine/getRequestKey';
+import getTraits from '../quarantine/getTraits';
 import type Result from '../shared/Result';
 import type Clock from '../shared/Clock';
 import type AttemptOutcome from './AttemptOutcome';
@@ -28,11 +28,8 @@
     isImmediate: boolean,
   ): Promise<Result<Placement, Refusal>>;
   attempt(request: ActiveRequest, placement: Placement, isLast: boolean): Promise<AttemptOutcome>;
-  /** Returns the part of a prompt for which requests are refused, and the time until that ends. */
-  tryGetPromptBlock(
-    now: number,
-    parts: readonly string[],
-  ): { part: string; endsInMs: number } | undefined;
+  /** Returns the trait of a request for which it is refused, and the time until that ends. */
+  tryGetBlock(now: number, request: CallerRequest): { trait: string; endsInMs: number } | undefined;
   /** Returns the requests a second that an upstream takes, if it states a limit. */
   tryGetLimit(upstream: Upstream): number | undefined;
   recordRequest(now: number, service: string): void;
@@ -72,10 +69,10 @@
       refuse(callerRequest, response, { kind: 'notReady', retryAfterMs: LEAVING_RETRY_AFTER_MS });
       return () => {};
     }
-    const block = host.tryGetPromptBlock(arrivedAt, callerRequest.sharedPromptParts);
+    const block = host.tryGetBlock(arrivedAt, callerRequest);
     if (block) {
-      const { part, endsInMs } = block;
-      refuse(callerRequest, response, { kind: 'promptBlocked', part, retryAfterMs: endsInMs });
+      const { trait, endsInMs } = block;
+      refuse(callerRequest, response, { kind: 'blocked', trait, retryAfterMs: endsInMs });
       return () => {};
     }
     const service = pickTarget(route, host.random());
@@ -151,8 +148,7 @@
       ms: Math.round(now - request.arrivedAt),
       firstMs: request.firstByteAt && Math.round(request.firstByteAt - request.arrivedAt),
       tokens: request.callerRequest.promptTokens,
-      parts: kind === 'answered' ? undefined : request.callerRequest.sharedPromptParts,
-      key: kind === 'answered' ? undefined : getRequestKey(request.callerRequest),
+      traits: kind === 'answered' ? undefined : getTraits(request.callerRequest),
       turnMs: Math.round(request.prefillWaitMs),
       pauseMs: Math.round(request.longestPauseMs),
     });
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -4,6 +4,7 @@
 import type AttemptOutcome from './AttemptOutcome';
 import getRetryAfterMs from './getRetryAfterMs';
 import type ActiveRequest from './ActiveRequest';
+import type CallerRequest from './CallerRequest';
 import type Placement from './Placement';
 import type Refusal from './Refusal';
 import writeRefusal from './writeRefusal';
@@ -30,10 +31,8 @@
     isImmediate: boolean,
   ): Promise<Result<Placement, Refusal>>;
   attempt(request: ActiveRequest, placement: Placement, isLast: boolean): Promise<AttemptOutcome>;
-  tryGetPromptBlock(
-    now: number,
-    parts: readonly string[],
-  ): { part: string; endsInMs: number } | undefined;
+  /** Returns the trait of a request for which it is refused, and the time until that ends. */
+  tryGetBlock(now: number, request: CallerRequest): { trait: string; endsInMs: number } | undefined;
   /** Takes one retry from the retry budget of the service; returns false if none is left. */
   tryRetry(now: number, service: string): boolean;
   /** Returns a number from 0 to 1. */
@@ -115,11 +114,11 @@
         excludedUpstreams.add(placement.upstream.id);
         return 'retry';
       })
-      .with({ kind: 'notSent', reason: 'promptBlocked' }, () => {
-        const block = host.tryGetPromptBlock(host.now(), request.callerRequest.sharedPromptParts);
+      .with({ kind: 'notSent', reason: 'blocked' }, () => {
+        const block = host.tryGetBlock(host.now(), request.callerRequest);
         return sentCount > notRunCount || !block
-          ? fail('promptBlocked')
-          : refuse({ kind: 'promptBlocked', part: block.part, retryAfterMs: block.endsInMs });
+          ? fail('blocked')
+          : refuse({ kind: 'blocked', trait: block.trait, retryAfterMs: block.endsInMs });
       })
       .with({ kind: 'notSent' }, ({ reason }) => {
         unsentCount += 1;
--- a/src/gateway/writeRefusal.ts
+++ b/src/gateway/writeRefusal.ts
@@ -16,20 +16,12 @@
     .with('bodyTooLarge', () => 413)
     .with('slowBody', () => 408)
     .with(
-      P.union(
-        'notReady',
-        'noUpstream',
-        'busy',
-        'noAdapter',
-        'limited',
-        'deadline',
-        'promptBlocked',
-      ),
+      P.union('notReady', 'noUpstream', 'busy', 'noAdapter', 'limited', 'deadline', 'blocked'),
       () => 503,
     )
     .exhaustive();
-  const part = refusal.kind === 'promptBlocked' ? refusal.part : undefined;
-  const body = Buffer.from(JSON.stringify({ error: { code: refusal.kind, ran: 'no', part } }));
+  const trait = refusal.kind === 'blocked' ? refusal.trait : undefined;
+  const body = Buffer.from(JSON.stringify({ error: { code: refusal.kind, ran: 'no', trait } }));
   const retryAfter: [string, string][] =
     'retryAfterMs' in refusal
       ? [['retry-after', String(refusal.retryAfterMs / MS_PER_SECOND)]]
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -270,12 +270,20 @@
    * the call if it has not sent it yet.
    */
   z.object({ kind: z.literal('callInquiry'), key: z.string(), nonce: z.string() }),
-  /** Reports that an engine ended right after it began a response; see `CrashReport`. */
-  z.object({ kind: z.literal('engineCrash'), engine: z.string(), parts: z.array(z.string()) }),
-  /** Carries blocks of parts of prompts; see `src/quarantine/PromptBlock.ts`. */
+  /** Reports that an upstream ended under requests of the sender; see `CrashReport`. */
   z.object({
-    kind: z.literal('promptBlocks'),
-    blocks: z.array(z.object({ part: z.string(), version: z.number(), isBlocked: z.boolean() })),
+    kind: z.literal('upstreamCrash'),
+    upstream: z.string(),
+    requests: z.array(
+      z.object({ traits: z.array(z.string()), ageMs: z.number(), ranMs: z.number() }),
+    ),
+  }),
+  /** Reports that a request was served whose trait is suspected to crash upstreams. */
+  z.object({ kind: z.literal('requestServed'), trait: z.string() }),
+  /** Carries blocks of traits of requests; see `src/quarantine/Block.ts`. */
+  z.object({
+    kind: z.literal('blocks'),
+    blocks: z.array(z.object({ trait: z.string(), version: z.number(), isBlocked: z.boolean() })),
   }),
   /** Carries limits of upstreams; see `src/rateLimits/LimitStatement.ts`. */
   z.object({ kind: z.literal('upstreamLimits'), statements: z.array(UpstreamLimit) }),
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -71,11 +71,7 @@
     droppedLines: counter('log_lines_dropped_total', 'Log lines dropped.', []),
     connections: counter('upstream_connections_total', 'Connections opened to upstreams.', []),
     membersHeard: gauge('members_heard', 'Live entry VMs with a recent heartbeat.', []),
-    blockedParts: gauge(
-      'blocked_prompt_parts',
-      'Parts of prompts whose requests are refused since they crash engines.',
-      [],
-    ),
+    blocks: gauge('blocks', 'Traits of requests that are refused since they crash upstreams.', []),
     permits: counter('upstream_permits_total', 'Permits wanted for limited upstreams.', [
       'outcome',
     ]),
--- a/src/quarantine/CrashReport.ts
+++ b/src/quarantine/CrashReport.ts
@@ -1,9 +1,10 @@
-/** The process of an engine has ended right after it began a response to a request. */
+import type LostRequest from './LostRequest';
+
+/** The process of an upstream has ended under requests of one VM. */
 interface CrashReport {
-  /** Identifies the run of the engine that has ended. */
-  engine: string;
-  /** Shared parts of the request's prompt, in order. */
-  parts: string[];
+  /** Identifies the incarnation of the upstream that has ended. */
+  upstream: string;
+  requests: LostRequest[];
 }
 
 export default CrashReport;
--- /dev/null
+++ b/src/quarantine/REQUEST_TRAIT_PREFIX.ts
@@ -0,0 +1,3 @@
+const REQUEST_TRAIT_PREFIX = 'request:';
+
+export default REQUEST_TRAIT_PREFIX;
--- a/test/fleet/promptBlocks.test.ts
+++ b/test/fleet/blocks.test.ts
@@ -1,15 +1,17 @@
 import { expect } from 'chai';
+import type CallerRequest from '../../src/gateway/CallerRequest';
+import createRequest from './createRequest';
 import createTestFleet from './createTestFleet';
 
 const VM_COUNT = 9;
 const CRASH_INTERVAL_MS = 700;
 /** Time after the fifth crash from which only a few requests may still reach engines. */
 const KNOWN_AFTER_MS = 3000;
-const PARTS = ['first', 'bad'];
+const TRAITS = ['part:first', 'part:bad'];
 
 type Fleet = ReturnType<typeof createTestFleet>;
 
-describe('blocks of prompts that crash engines', () => {
+describe('blocks of requests that crash upstreams', () => {
   it('are in force on all VMs after five crashes, each seen by another VM', async () => {
     const fleet = createTestFleet({ vms: VM_COUNT });
     await fleet.start();
@@ -56,7 +58,7 @@
     const fleet = createTestFleet({ vms: VM_COUNT });
     await fleet.start();
     const [served, ...others] = fleet.addresses;
-    guard(fleet, served).recordSuccess(fleet.clock.now(), PARTS);
+    guard(fleet, served).recordServed(fleet.clock.now(), createPrompt(['first', 'bad']));
     await crash(fleet, 5, others);
     await fleet.clock.advance(500);
     expect(getBlocking(fleet, 'bad')).to.deep.equal([]);
@@ -66,9 +68,9 @@
     const fleet = createTestFleet({ vms: VM_COUNT });
     await fleet.start();
     await crash(fleet, 5);
-    expect(guard(fleet, fleet.addresses[3]).lift(fleet.clock.now(), 'bad', 'operator')).to.equal(
-      true,
-    );
+    expect(
+      guard(fleet, fleet.addresses[3]).lift(fleet.clock.now(), 'part:bad', 'operator'),
+    ).to.equal(true);
     await fleet.clock.advance(10_000);
     expect(getBlocking(fleet, 'bad')).to.deep.equal([]);
   });
@@ -78,7 +80,7 @@
     await fleet.start();
     const [address] = fleet.addresses;
     const blocks = Array.from({ length: 3000 }, (_, index) => ({
-      part: `p${index}`,
+      trait: `part:p${index}`,
       version: 1,
       isBlocked: true,
     }));
@@ -87,16 +89,20 @@
   });
 });
 
+function createPrompt(sharedPromptParts: string[]): CallerRequest {
+  return { ...createRequest(1, 'a1'), sharedPromptParts };
+}
+
 function guard(fleet: Fleet, address: string) {
-  return fleet.vms.get(address)!.promptGuard;
+  return fleet.vms.get(address)!.crashGuard;
 }
 
 /** Lets each of the VMs in turn report the crash of another engine under the same parts. */
 async function crash(fleet: Fleet, count: number, vms: readonly string[] = fleet.addresses) {
   for (let index = 0; index < count; index += 1) {
     guard(fleet, vms[index % (VM_COUNT - 1)]).reportCrash(fleet.clock.now(), {
-      engine: `e${index}`,
-      parts: PARTS,
+      upstream: `e${index}`,
+      requests: [{ traits: TRAITS, ageMs: 0, ranMs: 50 }],
     });
     await fleet.clock.advance(CRASH_INTERVAL_MS);
   }
@@ -104,6 +110,7 @@
 
 function getBlocking(fleet: Fleet, part: string): string[] {
   return fleet.addresses.filter(
-    (address) => guard(fleet, address).tryGetBlock(fleet.clock.now(), [part]) !== undefined,
+    (address) =>
+      guard(fleet, address).tryGetBlock(fleet.clock.now(), createPrompt([part])) !== undefined,
   );
 }
--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -11,12 +11,13 @@
 import createFrameReader from '../../src/mesh/createFrameReader';
 import encodeFrame from '../../src/mesh/encodeFrame';
 import Message from '../../src/mesh/Message';
-import type CallerRequest from '../../src/gateway/CallerRequest';
 import type ResponseHandler from '../../src/upstream/ResponseHandler';
 import type Upstream from '../../src/upstream/Upstream';
 import createKeyValueStore from '../../standins/platform/createKeyValueStore';
 import createVirtualClock from '../scenario/createVirtualClock';
+import createRequest from './createRequest';
 import createTestDesks from './createTestDesks';
+import MODEL from './MODEL';
 
 const CALL_MS = 4;
 const LINK_DELAY_MS = 1;
@@ -24,7 +25,6 @@
 const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 const MANIFEST_KEY = 'manifest';
 const UPSTREAM_PREFIX = 'upstreams/';
-const MODEL = 'model257406';
 const ADAPTERS_PER_ENGINE = 11;
 const STREAM_MS = 1500;
 
@@ -465,25 +465,6 @@
   };
 }
 
-function createRequest(index: number, adapter: string): CallerRequest {
-  return {
-    id: `request-${index}`,
-    method: 'POST',
-    path: '/chat/1',
-    host: 'fleet.example',
-    caller: undefined,
-    headers: [],
-    deadlineMs: 10_000,
-    model: MODEL,
-    adapter,
-    promptTokens: 300,
-    outputTokens: 50,
-    sharedPromptParts: [],
-    resumeAfter: undefined,
-    body: Buffer.alloc(0),
-  };
-}
-
 const responseWriter = {
   writeHead: () => {},
   write: () => true,
--- a/test/platform/truncatedResponse.test.ts
+++ b/test/platform/truncatedResponse.test.ts
@@ -226,7 +226,7 @@
       },
       tryGetLimit: () => undefined,
       recordRequest: () => {},
-      tryGetPromptBlock: () => undefined,
+      tryGetBlock: () => undefined,
       tryRetry: () => true,
       random: () => 0,
       log: () => {},
--- a/test/routed/serve.test.ts
+++ b/test/routed/serve.test.ts
@@ -322,7 +322,7 @@
                 request,
                 Infinity,
               ),
-        tryGetPromptBlock: () => undefined,
+        tryGetBlock: () => undefined,
         tryRetry: () => hasRetryBudget,
         countRetry: () => {},
         log: () => {},
