Stand-in, lab and soak play requests that crash servers, for every service

Plain servers crash too; a request whose path ends in /crash ends each server that runs it, and comes again in the same form; a whole data centre can crash at once.

--- a/scripts/lab.ts
+++ b/scripts/lab.ts
@@ -29,7 +29,8 @@
   --server-fault KIND  fault of all servers during a round (default: none)
   --limit N            requests a second that limited servers state (default: none)
   --limited N          servers of each service that state the limit (default: 1)
-  --crashing-share N   part of the chat requests that crash servers (default: 0)
+  --crashing-share N   part of the chat requests whose prompts crash servers (default: 0)
+  --repeated-share N   part of the chat and look requests that come again and crash servers (default: 0)
   --json               figures as JSON instead of a table
   --plot FILE          latencies by kind and build as SVG`,
   {
@@ -47,6 +48,7 @@
       limit: { type: 'number' },
       limited: { type: 'number', default: 1 },
       crashingShare: { type: 'number', default: 0 },
+      repeatedShare: { type: 'number', default: 0 },
       json: { type: 'boolean', default: false },
       plot: { type: 'string' },
     },
@@ -89,6 +91,7 @@
     adapters: flags.adapters,
     pauseMs: 1000 / flags.perSecond,
     crashingShare: flags.crashingShare,
+    crashingRequestShare: flags.repeatedShare,
   });
   const servers = Object.fromEntries(trial.servers.map(({ id }) => [id, flags.serverFault]));
   await trial.post('faults', { servers });
@@ -114,10 +117,10 @@
     const share = (use.arrived / use.allowed).toFixed(2);
     process.stderr.write(`${use.server}: ${share} of its limit used (${use.arrived})\n`);
   });
-  violations.push(...[callers.tryGetCrashViolation(record)].filter((text) => text !== undefined));
+  violations.push(...callers.getCrashViolations(record));
   callers
     .getResults()
-    .filter(({ sentAt }) => sentAt - startedAt >= WARM_UP_MS)
+    .filter(({ sentAt, crash }) => sentAt - startedAt >= WARM_UP_MS && crash === 'none')
     .forEach(({ kind, status, sentAt, endedAt }) => {
       const key = `${bundle} ${kind}`;
       const counts = totals.get(key) ?? { sent: 0, served: 0, refused: 0, histogram: build() };
--- a/scripts/platform/createCallers.ts
+++ b/scripts/platform/createCallers.ts
@@ -1,5 +1,6 @@
 import { Agent, request } from 'undici';
 import CRASHING_PART from '../../standins/platform/CRASHING_PART';
+import CRASHING_PATH from '../../standins/platform/CRASHING_PATH';
 import sign from '../../standins/platform/sign';
 import type ExecutionRecord from '../../standins/platform/ExecutionRecord';
 import type createPlatformTrial from './createPlatformTrial';
@@ -7,14 +8,18 @@
 type Trial = ReturnType<typeof createPlatformTrial>;
 type RequestKind = 'chat' | 'resume' | 'hold' | 'look';
 
+/**
+ * How a request crashes servers: by a part of its prompt, or as a whole, in the same form each time.
+ */
+type Crash = 'none' | 'part' | 'request';
+
 /** Result of one request as its caller received it. Times are Unix times in milliseconds. */
 interface RequestResult {
   id: string;
   kind: RequestKind;
   adapter: string;
   vm: string;
-  /** Whether its prompt has the part that crashes model servers. */
-  isCrashing: boolean;
+  crash: Crash;
   sentAt: number;
   endedAt: number;
   /** HTTP status; 0 if the connection ended before the complete response. */
@@ -31,7 +36,8 @@
 /** First parts of prompts; requests that crash servers share them with others. */
 const FIRST_PARTS = ['0a1', '0a2', '0a3'];
 /** Number of crashes, and time after them, from which only a few more requests may reach servers. */
-const KNOWN_CRASHES = 5;
+const KNOWN_PART_CRASHES = 5;
+const KNOWN_REQUEST_CRASHES = 3;
 const KNOWN_AFTER_MS = 3000;
 const MAX_LATE_ARRIVALS = 3;
 const NOT_RUN = new Set([408, 421, 429, 503]);
@@ -49,6 +55,8 @@
     pauseMs: number;
     /** Part of the `chat` requests whose prompt crashes model servers (default: none). */
     crashingShare?: number;
+    /** Part of the `chat` and `look` requests that come again and crash servers (default: none). */
+    crashingRequestShare?: number;
   },
 ) {
   const agent = new Agent({ connections: 20, pipelining: 1 });
@@ -99,11 +107,16 @@
     const adapter = `a${1 + Math.floor(options.random() ** 2 * options.adapters)}`;
     const vm = addresses[Math.floor(options.random() * addresses.length)];
     count += 1;
-    const isCrashing =
-      kind === 'chat' &&
-      options.crashingShare !== undefined &&
-      options.random() < options.crashingShare;
-    await send(`${options.name}-${kind}-${count}`, kind, adapter, vm, isCrashing);
+    await send(`${options.name}-${kind}-${count}`, kind, adapter, vm, pickCrash(kind));
+  }
+
+  function pickCrash(kind: RequestKind): Crash {
+    const isPicked = (share = 0) => share > 0 && options.random() < share;
+    if (kind === 'chat' && isPicked(options.crashingShare)) {
+      return 'part';
+    }
+    const isRepeated = kind === 'chat' || kind === 'look';
+    return isRepeated && isPicked(options.crashingRequestShare) ? 'request' : 'none';
   }
 
   async function send(
@@ -111,7 +124,7 @@
     kind: RequestKind,
     adapter: string,
     vm: string,
-    isCrashing = false,
+    crash: Crash = 'none',
   ): Promise<RequestResult> {
     const isStream = kind === 'chat' || kind === 'resume';
     const result: RequestResult = {
@@ -119,7 +132,7 @@
       kind,
       adapter,
       vm,
-      isCrashing,
+      crash,
       sentAt: Date.now(),
       endedAt: 0,
       status: 0,
@@ -127,22 +140,25 @@
       body: '',
     };
     try {
-      const response = await request(`http://${vm}/${kind}/x`, {
-        method: kind === 'look' ? 'GET' : 'POST',
-        headers: {
-          host: 'trial.example',
-          'request-id': id,
-          'deadline-ms': String(DEADLINE_MS),
-          ...(isStream && {
-            model: `${trial.model}/${adapter}`,
-            'token-count': '400,40',
-            'prompt-prefix': getPrompt(id, adapter, isCrashing),
-          }),
+      const response = await request(
+        `http://${vm}/${kind}${crash === 'request' ? CRASHING_PATH : '/x'}`,
+        {
+          method: kind === 'look' ? 'GET' : 'POST',
+          headers: {
+            host: 'trial.example',
+            'request-id': id,
+            'deadline-ms': String(DEADLINE_MS),
+            ...(isStream && {
+              model: `${trial.model}/${adapter}`,
+              'token-count': '400,40',
+              'prompt-prefix': getPrompt(id, adapter, crash === 'part'),
+            }),
+          },
+          body: kind === 'look' ? undefined : `{"id":"${crash === 'request' ? '' : id}"}`,
+          dispatcher: agent,
+          signal: AbortSignal.timeout(DEADLINE_MS + 1000),
         },
-        body: kind === 'look' ? undefined : `{"id":"${id}"}`,
-        dispatcher: agent,
-        signal: AbortSignal.timeout(DEADLINE_MS + 1000),
-      });
+      );
       result.signature = String(response.headers['response-signature'] ?? '');
       result.body = await response.body.text();
       result.status = response.statusCode;
@@ -188,7 +204,7 @@
             addViolation(`began on a version older than ${version}`);
           }
         });
-      if (result.body.includes('"blocked"') && !result.isCrashing) {
+      if (result.body.includes('"blocked"') && result.crash === 'none') {
         addViolation('refused as a request that crashes servers');
       }
       if (result.status === 404 || result.status === 400) {
@@ -209,30 +225,35 @@
   }
 
   /**
-   * Returns a violation if too many requests that crash servers reached them after they could be
-   * known; those sent by a VM that `isDisturbed` at the time do not count.
+   * Returns the violations by requests that reached servers too often after it could be known that they
+   * crash them; those sent by a VM that `isDisturbed` at the time do not count.
    */
-  function tryGetCrashViolation(
+  function getCrashViolations(
     record: ExecutionRecord,
     isDisturbed: (vm: string, at: number) => boolean = () => false,
-  ): string | undefined {
-    const known = record.crashes.filter(({ part }) => part !== undefined)[KNOWN_CRASHES - 1];
-    const sent = new Map(results.map((result) => [result.id, result]));
-    const late = record.crashingArrivals.filter(
-      ({ at, id }) =>
-        known !== undefined &&
-        at > known.at + KNOWN_AFTER_MS &&
-        !isDisturbed(sent.get(id)?.vm ?? '', at),
-    );
-    return late.length > MAX_LATE_ARRIVALS
-      ? `${late.length} requests that crash servers reached them after ${KNOWN_CRASHES} crashes`
-      : undefined;
+  ): string[] {
+    const vms = new Map(results.map(({ id, vm }) => [id, vm]));
+    const causes = new Set(record.crashingArrivals.map(({ cause }) => cause));
+    return [...causes].flatMap((cause) => {
+      const knownCrashes = cause === 'part' ? KNOWN_PART_CRASHES : KNOWN_REQUEST_CRASHES;
+      const known = record.crashes.filter((crash) => crash.cause === cause)[knownCrashes - 1];
+      const late = record.crashingArrivals.filter(
+        (arrival) =>
+          arrival.cause === cause &&
+          known !== undefined &&
+          arrival.at > known.at + KNOWN_AFTER_MS &&
+          !isDisturbed(vms.get(arrival.id) ?? '', arrival.at),
+      );
+      return late.length > MAX_LATE_ARRIVALS
+        ? [`${late.length} requests (${cause}) reached servers after ${knownCrashes} crashes`]
+        : [];
+    });
   }
 
   return {
     run,
     send,
-    tryGetCrashViolation,
+    getCrashViolations,
     stop,
     getViolations,
     recordVersion: (adapter: string, version: number) =>
--- a/scripts/platform/createFaults.ts
+++ b/scripts/platform/createFaults.ts
@@ -124,7 +124,13 @@
     crash: async () => {
       const { id } = pickRandom(trial.servers);
       options.log(`${id}: crash`);
-      await trial.post('crash', { id });
+      await trial.post('crash', { ids: [id] });
+    },
+    crashRack: async () => {
+      const { dataCentre } = pickRandom(trial.servers);
+      options.log(`all servers of ${dataCentre}: crash`);
+      const rack = trial.servers.filter((server) => server.dataCentre === dataCentre);
+      await trial.post('crash', { ids: rack.map(({ id }) => id) });
     },
     version: async () => {
       const adapter = `a${1 + Math.floor(random() * options.adapters)}`;
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -19,7 +19,10 @@
 const RESUME_TOLERANCE_MS = 300;
 const RECOVERY_TIMEOUT_MS = 12_000;
 const POLL_MS = 300;
-/** Part of the chat requests that crash model servers, in every second seed. */
+/**
+ * Part of the requests that crash servers: by a part of their prompts in every second seed, as a whole in
+ * the others.
+ */
 const CRASHING_SHARE = 0.03;
 const CONTACT_MS = 3000;
 /** One in this many seeds also plays servers that state limits. */
@@ -74,6 +77,7 @@
     adapters: ADAPTERS,
     pauseMs: 12,
     crashingShare: seed % 2 === 0 ? CRASHING_SHARE : undefined,
+    crashingRequestShare: seed % 2 === 1 ? CRASHING_SHARE : undefined,
   });
   const faults = createFaults(trial, callers, { random, adapters: ADAPTERS, log: note });
   const limitFaults = createLimitFaults(trial, { random: createRandom(seed + 1), log: note });
@@ -99,13 +103,11 @@
     .forEach(({ at, holder, text, former }) =>
       violations.push(`${at} ${holder} ${text} ${JSON.stringify(former)}`),
     );
-  const crashViolation = callers.tryGetCrashViolation(record, (vm, at) => {
+  const crashViolations = callers.getCrashViolations(record, (vm, at) => {
     const name = trial.vms.find((candidate) => trial.getAddress(candidate, 8080) === vm)!;
     return faults.wasDisturbedWithin(name, at, CONTACT_MS);
   });
-  if (crashViolation !== undefined) {
-    violations.push(crashViolation);
-  }
+  violations.push(...crashViolations);
   const sentTo = new Map(callers.getResults().map(({ id, vm }) => [id, vm]));
   const limitUses = getLimitUses(record, ({ id, at }) => {
     const name = trial.vms.find((vm) => trial.getAddress(vm, 8080) === sentTo.get(id))!;
--- a/standins/platform/ExecutionRecord.ts
+++ b/standins/platform/ExecutionRecord.ts
@@ -13,10 +13,13 @@
     /** The preceding command, if the violation is between two commands. */
     former?: { holder: string; at: number };
   }[];
-  /** Crashes of model servers; `part` is the part of a prompt that caused it, if one did. */
-  crashes: { at: number; server: string; part?: string }[];
-  /** Arrivals of requests whose prompt has the part that crashes model servers. */
-  crashingArrivals: { at: number; id: string }[];
+  /**
+   * Crashes of servers. `cause` is `part` if a part of a prompt caused it, or the path of the request
+   * that did.
+   */
+  crashes: { at: number; server: string; cause?: string }[];
+  /** Arrivals of requests that crash servers. */
+  crashingArrivals: { at: number; id: string; cause: string }[];
   /** Changes of the requests a second that servers state; null: none any more. */
   limits: { at: number; server: string; perSecond: number | null }[];
   /** Arrivals of requests at servers that have stated a limit. */
--- a/standins/platform/createModelServer.ts
+++ b/standins/platform/createModelServer.ts
@@ -1,9 +1,10 @@
 import http from 'node:http';
-import type net from 'node:net';
 import { z } from 'zod';
 import type ExecutionRecord from './ExecutionRecord';
 import type ServerFault from './ServerFault';
 import CRASHING_PART from './CRASHING_PART';
+import CRASHING_PATH from './CRASHING_PATH';
+import createCrash from './createCrash';
 import sign from './sign';
 
 const LOAD_MS = 250;
@@ -13,8 +14,6 @@
 const LATE_COMMAND_DELAY_MS = 2500;
 /** Under the fault `unframed`, one in this many streams breaks off inside an event. */
 const TRUNCATION_INTERVAL = 3;
-/** Time after a crash at which the server is back, without adapters. */
-const RESTART_MS = 2000;
 /** Shortest time allowed between commands of two different owners. */
 const MIN_OWNER_CHANGE_MS = 3000;
 
@@ -80,30 +79,16 @@
     }
   });
 
-  const sockets = new Set<net.Socket>();
-  server.on('connection', (socket) => {
-    sockets.add(socket);
-    socket.once('close', () => sockets.delete(socket));
+  const crash = createCrash(server, {
+    onCrash: (cause) => {
+      record.crashes.push({ at: Date.now(), server: options.id, cause });
+      adapters.clear();
+      sequence = 0;
+      lastCommand = undefined;
+    },
+    onRestart: options.onRestart,
   });
 
-  /** Ends the server as a crash does, and starts it again after some time. */
-  function crash(part?: string): void {
-    if (!server.listening) {
-      return;
-    }
-    record.crashes.push({ at: Date.now(), server: options.id, part });
-    const { address, port } = server.address() as net.AddressInfo;
-    server.close();
-    sockets.forEach((socket) => socket.resetAndDestroy());
-    adapters.clear();
-    sequence = 0;
-    lastCommand = undefined;
-    setTimeout(() => {
-      server.listen(port, address);
-      options.onRestart();
-    }, RESTART_MS);
-  }
-
   function handleCommand(command: z.infer<typeof Command>, response: http.ServerResponse): void {
     checkOwner(command);
     if (options.getFault() === 'silentOrders' && sequence % 2 === 1) {
@@ -234,9 +219,11 @@
     };
     response.once('close', end);
     const prompt = String(request.headers['prompt-prefix'] ?? '');
-    const isCrashing = prompt.split(',').some((part) => part.startsWith(CRASHING_PART));
-    if (isCrashing) {
-      record.crashingArrivals.push({ at: Date.now(), id });
+    const hasCrashingPart = prompt.split(',').some((part) => part.startsWith(CRASHING_PART));
+    const isCrashingRequest = String(request.url).endsWith(CRASHING_PATH);
+    const crashCause = hasCrashingPart ? 'part' : isCrashingRequest && String(request.url);
+    if (crashCause) {
+      record.crashingArrivals.push({ at: Date.now(), id, cause: crashCause });
     }
     const from = Number(request.headers['last-event-id'] ?? 0);
     const isOnce = !String(request.url).includes('/resume/');
@@ -255,8 +242,8 @@
       if (hasEnded) {
         return;
       }
-      if (isCrashing) {
-        crash(CRASHING_PART);
+      if (crashCause) {
+        crash(crashCause);
         return;
       }
       if (!response.headersSent) {
--- a/standins/platform/createPlainServer.ts
+++ b/standins/platform/createPlainServer.ts
@@ -1,6 +1,8 @@
 import { once } from 'node:events';
 import http from 'node:http';
 import type ExecutionRecord from './ExecutionRecord';
+import CRASHING_PATH from './CRASHING_PATH';
+import createCrash from './createCrash';
 import type ServerFault from './ServerFault';
 import sign from './sign';
 
@@ -18,11 +20,12 @@
     getFault(): ServerFault;
     /** Records an arrival; returns the header that states the server's limit, if it has one. */
     recordArrival(id: string): Record<string, string>;
+    onRestart(): void;
   },
-): http.Server {
+) {
   let running = 0;
   let responseCount = 0;
-  return http.createServer(async (request, response) => {
+  const server = http.createServer(async (request, response) => {
     const id = String(request.headers['request-id'] ?? '');
     request.resume();
     await once(request, 'end');
@@ -41,6 +44,11 @@
       return;
     }
     running += 1;
+    const path = String(request.url);
+    const isCrashing = path.endsWith(CRASHING_PATH);
+    if (isCrashing) {
+      record.crashingArrivals.push({ at: Date.now(), id, cause: path });
+    }
     const isOnce = request.method === 'POST';
     (record.runs[id] ??= []).push({
       at: Date.now(),
@@ -53,6 +61,10 @@
       setTimeout(resolve, SERVICE_MS);
     });
     running -= 1;
+    if (isCrashing) {
+      crash(path);
+      return;
+    }
     const fault = options.getFault();
     if (fault === 'loseAnswers') {
       request.socket.resetAndDestroy();
@@ -82,4 +94,11 @@
     response.write(''); // Keeps Node.js from adding a length.
     response.end(JSON.stringify({ id, server: options.id, path: request.url }));
   });
+  const crash = createCrash(server, {
+    onCrash: (cause) => {
+      record.crashes.push({ at: Date.now(), server: options.id, cause });
+    },
+    onRestart: options.onRestart,
+  });
+  return { server, crash };
 }
--- a/standins/platform/main.ts
+++ b/standins/platform/main.ts
@@ -57,7 +57,19 @@
     return limit === undefined ? {} : { 'server-limit': String(limit) };
   };
   if (server.kind === 'plain') {
-    listen(createPlainServer(record, { id: server.id, getFault, recordArrival }), server.listen);
+    const onRestart = () => {
+      setLimit(server.id, null);
+      bootTimes.set(server.id, Date.now());
+      register(server, undefined);
+    };
+    const plainServer = createPlainServer(record, {
+      id: server.id,
+      getFault,
+      recordArrival,
+      onRestart,
+    });
+    crashes.set(server.id, plainServer.crash);
+    listen(plainServer.server, server.listen);
     register(server, undefined);
     return;
   }
@@ -108,8 +120,8 @@
   return context.body(null, 200);
 });
 control.post('/crash', async (context) => {
-  const { id } = await context.req.json<{ id: string }>();
-  crashes.get(id)?.();
+  const { ids } = await context.req.json<{ ids: string[] }>();
+  ids.forEach((id) => crashes.get(id)?.());
   return context.body(null, 200);
 });
 control.post('/forget', (context) => {
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -77,7 +77,7 @@
     const running = callers.run();
     const [engine] = trial.servers;
     await wait(CRASHING_MS / 2);
-    await trial.post('crash', { id: engine.id });
+    await trial.post('crash', { ids: [engine.id] });
     await trial.endProcess(trial.vms[0], 'SIGKILL');
     trial.startVm(trial.vms[0]);
     await trial.waitUntilReady(trial.vms[0]);
@@ -85,18 +85,49 @@
     await callers.stop();
     await running;
     const ledger = await trial.getExecutionRecord();
-    expect(ledger.crashes.filter(({ part }) => part !== undefined)).not.to.have.length(0);
-    expect(callers.tryGetCrashViolation(ledger)).to.equal(undefined);
+    expect(ledger.crashes.filter(({ cause }) => cause !== undefined)).not.to.have.length(0);
+    expect(callers.getCrashViolations(ledger)).to.deep.equal([]);
     expect(callers.getViolations(ledger)).to.deep.equal([]);
     const sound = callers
       .getResults()
-      .filter(({ kind, isCrashing }) => kind === 'chat' && !isCrashing)
+      .filter(({ kind, crash }) => kind === 'chat' && crash === 'none')
       .slice(-SOUND_COUNT);
     expect(sound.filter(({ status }) => status === 200)).to.have.length.greaterThan(
       SOUND_COUNT / 2,
     );
   });
 
+  it('stop sending requests that crash one server after the other, and serve others', async () => {
+    const callers = createCallers(trial, {
+      name: 'repeated',
+      random: createRandom(6),
+      adapters: ADAPTER_COUNT,
+      pauseMs: 15,
+      crashingRequestShare: 0.05,
+    });
+    const running = callers.run();
+    await wait(CRASHING_MS / 2);
+    await trial.endProcess(trial.vms[1], 'SIGKILL');
+    trial.startVm(trial.vms[1]);
+    await trial.waitUntilReady(trial.vms[1]);
+    await wait(CRASHING_MS / 2);
+    await callers.stop();
+    await running;
+    const ledger = await trial.getExecutionRecord();
+    expect(ledger.crashes.filter(({ cause }) => cause?.startsWith('/'))).not.to.have.length(0);
+    expect(callers.getCrashViolations(ledger)).to.deep.equal([]);
+    expect(callers.getViolations(ledger)).to.deep.equal([]);
+    ['chat', 'look', 'hold'].forEach((kind) => {
+      const sound = callers
+        .getResults()
+        .filter((result) => result.kind === kind && result.crash === 'none')
+        .slice(-SOUND_COUNT);
+      expect(sound.filter(({ status }) => status === 200)).to.have.length.greaterThan(
+        SOUND_COUNT / 2,
+      );
+    });
+  });
+
   it('keep the limits that servers state together, and use them', async () => {
     const [engine] = trial.servers;
     const desk = trial.servers.find(({ kind }) => kind === 'plain')!;
