--- a/src/gateway/CallerRequest.ts
+++ b/src/gateway/CallerRequest.ts
@@ -23,6 +23,8 @@
   sharedPromptParts: string[];
   /** Id of the last event that the caller has received; set only if it resumes a stream. */
   resumeAfter: string | undefined;
+  /** Id of the request that brought the first event of the stream that this one resumes. */
+  resumedRequest: string | undefined;
   body: Buffer;
 }
 
--- a/src/upstream/Upstream.ts
+++ b/src/upstream/Upstream.ts
@@ -9,6 +9,8 @@
   state: 'ready' | 'leaving';
   /** Number of requests that it serves concurrently. */
   slots: number;
+  /** Version of its software, not of the models it serves; undefined if it states none. */
+  softwareVersion: string | undefined;
   /** Models and adapters that it held at the time of registration; may be seconds old. */
   models: ResidentModel[];
 }
--- a/src/upstream/createUpstreams.ts
+++ b/src/upstream/createUpstreams.ts
@@ -56,8 +56,15 @@
     removed.delete(id);
     upstreams.set(id, upstream);
     if (known?.state !== upstream.state || known.startedAt !== upstream.startedAt) {
-      const { state, service, address, startedAt } = upstream;
-      host.log('upstreamSeen', { upstream: id, state, service, address, startedAt });
+      const { state, service, address, startedAt, softwareVersion } = upstream;
+      host.log('upstreamSeen', {
+        upstream: id,
+        state,
+        service,
+        address,
+        startedAt,
+        softwareVersion,
+      });
     }
     host.onChange(upstream);
   }
--- a/test/fleet/createRequest.ts
+++ b/test/fleet/createRequest.ts
@@ -17,6 +17,7 @@
     outputTokens: 50,
     sharedPromptParts: [],
     resumeAfter: undefined,
+    resumedRequest: undefined,
     body: Buffer.alloc(0),
   };
 }
--- a/test/platform/truncatedResponse.test.ts
+++ b/test/platform/truncatedResponse.test.ts
@@ -192,6 +192,7 @@
             dataCentre: 'x',
             state: 'ready',
             slots: 1,
+            softwareVersion: undefined,
             models: [],
           },
           version: undefined,
--- a/test/routed/engine.test.ts
+++ b/test/routed/engine.test.ts
@@ -20,6 +20,7 @@
   dataCentre: 'x',
   state: 'ready',
   slots: 8,
+  softwareVersion: undefined,
   models: [],
 };
 
--- a/test/routed/lateLoads.test.ts
+++ b/test/routed/lateLoads.test.ts
@@ -57,6 +57,7 @@
     dataCentre: 'x',
     state: 'ready',
     slots: 8,
+    softwareVersion: undefined,
     models: [],
   };
 
@@ -94,6 +95,7 @@
         getReport: async () => ({
           ok: true,
           value: {
+            softwareVersion: undefined,
             models: [
               {
                 name: 'm',
--- a/test/routed/serve.test.ts
+++ b/test/routed/serve.test.ts
@@ -210,6 +210,7 @@
       outputTokens: 0,
       sharedPromptParts: [],
       resumeAfter: undefined,
+      resumedRequest: undefined,
       body: Buffer.alloc(0),
     },
     route,
@@ -356,6 +357,7 @@
     dataCentre: 'x',
     state: 'ready' as const,
     slots: 1,
+    softwareVersion: undefined,
     models: [],
   };
   return { upstream, version: undefined, inFlight: 0 };
