Failing test: streams of a service with several software versions

In fleets of 8 and 61 VMs in virtual time, streams that break off and are taken up at another VM, within one response, after a kill of all VMs, or after their servers have left, go on at any version.

--- a/test/fleet/createTestDesks.ts
+++ b/test/fleet/createTestDesks.ts
@@ -4,11 +4,24 @@
 
 const LINK_DELAY_MS = 1;
 const SERVICE_MS = 50;
+const EVENT_COUNT = 10;
+const EVENT_INTERVAL_MS = 200;
 /** Time from the begin of a crashing request to the end of its desk. */
 const CRASH_MS = 30;
 /** Time after a crash at which a desk is back at its address, under another id. */
 const RESTART_MS = 3000;
 
+/** A request as its desk receives it. */
+interface TestRequest {
+  /** Id of the upstream that it is meant for. */
+  upstream: string;
+  path: string;
+  /** Number of the event after which a stream resumes. */
+  resumeAfter: number;
+  /** Returns whether the VM that sent it still runs. */
+  isSenderRunning(): boolean;
+}
+
 interface Call {
   handler: ResponseHandler;
   cancels: (() => void)[];
@@ -38,8 +51,8 @@
     return desks.find((desk) => desk.address === address);
   }
 
-  /** Runs a request that expects the upstream `id` at the desk's address. */
-  function run(vm: string, desk: Upstream, id: string, path: string, handler: ResponseHandler) {
+  function run(vm: string, desk: Upstream, request: TestRequest, handler: ResponseHandler) {
+    const { upstream, path } = request;
     const call: Call = { handler, cancels: [] };
     const setTimer = (delayMs: number, callback: () => void) =>
       call.cancels.push(host.setTimer(delayMs, callback));
@@ -51,7 +64,7 @@
         handler.onError({ kind: 'notSent', reason: 'ECONNREFUSED' });
         return;
       }
-      if (desk.id !== id) {
+      if (desk.id !== upstream) {
         handler.onHead(421, {});
         handler.onEnd();
         return;
@@ -62,6 +75,25 @@
         setTimer(CRASH_MS, () => crash(desk.id, path));
         return;
       }
+      if (path.startsWith('/talk/')) {
+        const { softwareVersion } = desk;
+        handler.onHead(200, { 'content-type': 'text/event-stream' });
+        const sendEvent = (event: number) => {
+          if (!request.isSenderRunning()) {
+            end();
+            return;
+          }
+          handler.onData(Buffer.from(`id: ${event}\ndata: ${softwareVersion}\n\n`));
+          if (event < EVENT_COUNT) {
+            setTimer(EVENT_INTERVAL_MS, () => sendEvent(event + 1));
+          } else {
+            end();
+            handler.onEnd();
+          }
+        };
+        setTimer(SERVICE_MS, () => sendEvent(request.resumeAfter + 1));
+        return;
+      }
       setTimer(SERVICE_MS, () => {
         end();
         const limit = limits.get(desk.id);
@@ -92,6 +124,9 @@
       host.setTimer(LINK_DELAY_MS, () => handler.onError({ kind: 'lost', reason: 'reset' }));
     });
     host.setTimer(RESTART_MS, () => {
+      if (!desks.includes(desk)) {
+        return;
+      }
       host.register(desk.id, undefined);
       limits.delete(desk.id);
       const [name, restarts = '0'] = desk.id.split('.');
@@ -102,6 +137,22 @@
     });
   }
 
+  /** Starts a further desk with a software version. */
+  function add(softwareVersion: string): string {
+    const desk = { ...createDesk(desks.length), softwareVersion };
+    desks.push(desk);
+    host.register(desk.id, desk);
+    return desk.id;
+  }
+
+  /** Removes a desk, with the requests that it runs. */
+  function remove(id: string): void {
+    crash(id);
+    const index = desks.findIndex((desk) => desk.id === id);
+    const [desk] = desks.splice(index, 1);
+    host.register(desk.id, undefined);
+  }
+
   /** Restarts a desk at once under the same id. */
   function restart(id: string): void {
     const desk = desks.find((candidate) => candidate.id === id)!;
@@ -114,6 +165,8 @@
     tryGet,
     run,
     crash,
+    add,
+    remove,
     restart,
     isDown: (address: string) => {
       const desk = tryGet(address);
@@ -137,6 +190,7 @@
     dataCentre: 'x',
     state: 'ready',
     slots: 16,
+    softwareVersion: undefined,
     models: [],
   };
 }
--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -77,6 +77,7 @@
   const sentBytes = new Map<string, number>();
   /** Number of the running process of each VM that was killed; others run their first one. */
   const processes = new Map<string, number>();
+  const restartListeners = new Set<(vm: string) => void>();
   let callCount = 0;
   const events: { at: number; vm: string; name: string; fields: Record<string, unknown> }[] = [];
   const vms = new Map(addresses.map((address, index) => [address, createVm(address, index)]));
@@ -99,20 +100,26 @@
           },
         },
         connections: {
-          send: (upstreamAddress, { path, headers: [id] }, _, handler) => {
+          send: (upstreamAddress, { path, headers: [upstream, resumeAfter] }, _, handler) => {
             const desk = desks.tryGet(upstreamAddress);
+            const request = {
+              upstream,
+              path,
+              resumeAfter: Number(resumeAfter),
+              isSenderRunning: isRunning,
+            };
             return desk && isRunning()
-              ? desks.run(address, desk, id, path, handler)
+              ? desks.run(address, desk, request, handler)
               : runStream(handler);
           },
           getOpenCount: () => 0,
         },
         isConnectionRefused: async (upstreamAddress) => desks.isDown(upstreamAddress),
         decodeChange,
-        encodeRequest: ({ method, path }, { upstream }) => ({
+        encodeRequest: ({ method, path }, { upstream, resumeAfter = '0' }) => ({
           method,
           path,
-          headers: [upstream],
+          headers: [upstream, resumeAfter],
           body: undefined,
         }),
         decodeHead: (status, headers) => ({
@@ -193,6 +200,7 @@
   function restartVm(address: string, downMs: number): void {
     processes.set(address, (processes.get(address) ?? 0) + 1);
     vms.set(address, createVm(address, addresses.indexOf(address)));
+    restartListeners.forEach((listener) => listener(address));
     clock.setTimer(downMs, () => vms.get(address)!.start());
   }
 
@@ -355,6 +363,11 @@
     sendCall,
     sendCalls,
     restartVm,
+    /** Calls `listener` whenever a VM is killed; returns a function that ends that. */
+    onRestart: (listener: (vm: string) => void) => {
+      restartListeners.add(listener);
+      return () => restartListeners.delete(listener);
+    },
     getSentBytes: (address: string) => sentBytes.get(address) ?? 0,
   };
 }
@@ -401,6 +414,19 @@
         isResumable: false,
         targets: [{ service: 'desk', weight: 1 }],
       },
+      {
+        name: 'talk',
+        host: 'fleet.example',
+        pathPrefix: '/talk/',
+        kind: 'stream',
+        timeoutMs: 15_000,
+        latencyObjectiveMs: 1000,
+        pauseObjectiveMs: 300,
+        attempts: 2,
+        urgency: 1,
+        isResumable: true,
+        targets: [{ service: 'desk', weight: 1 }],
+      },
       {
         name: 'look',
         host: 'fleet.example',
@@ -452,6 +478,7 @@
     dataCentre: 'x',
     state: 'ready',
     slots: 16,
+    softwareVersion: undefined,
     models: [
       {
         name: MODEL,
