Streams go on only at the software version that began them

Callers got streams whose first events came from one software version and the rest from another: no VM knew versions, neither between a caller's tries nor within one response. A VM now binds a stream to the version of the upstream that gave its first event, and a resumption to where the named request began. While a service has several versions, one VM of each data centre tells all VMs where streams begin, and records it in the key-value service, so that VMs know it after all of them were killed. A new version gets such streams 2 s after it was recorded, when all VMs know it. What is not known is refused: 503, not run, to be tried again.

--- a/src/engines/createPendingLoads.ts
+++ b/src/engines/createPendingLoads.ts
@@ -14,6 +14,8 @@
   key: string;
   version: number;
   urgency: number;
+  /** Software version that the engine must have; undefined if any will do. */
+  softwareVersion?: string;
 }
 
 interface PendingLoadsHost extends Clock {
@@ -46,7 +48,7 @@
    * function that cancels the wait.
    */
   function request(wanted: WantedAdapter, waiter: (isLoaded: boolean) => void): () => void {
-    const existing = pendingLoads.get(wanted.key);
+    const existing = pendingLoads.get(getLoadKey(wanted));
     if (existing && existing.wanted.version >= wanted.version) {
       existing.waiters.add(waiter);
       return () => existing.waiters.delete(waiter);
@@ -59,7 +61,7 @@
       waiters: new Set([...(existing?.waiters ?? []), waiter]),
       cancelTimer: () => {},
     };
-    pendingLoads.set(wanted.key, pending);
+    pendingLoads.set(getLoadKey(wanted), pending);
     requestFromNextEngine(pending);
     return () => pending.waiters.delete(waiter);
   }
@@ -99,8 +101,9 @@
 
   function complete(pending: PendingLoad, isLoaded: boolean): void {
     pending.cancelTimer();
-    if (pendingLoads.get(pending.wanted.key) === pending) {
-      pendingLoads.delete(pending.wanted.key);
+    const loadKey = getLoadKey(pending.wanted);
+    if (pendingLoads.get(loadKey) === pending) {
+      pendingLoads.delete(loadKey);
     }
     pending.waiters.forEach((waiter) => waiter(isLoaded));
   }
@@ -117,11 +120,14 @@
 
   /** Requests an adapter from another engine after an engine's owner has refused the load. */
   function retryElsewhere(engine: string, key: string): void {
-    const pending = pendingLoads.get(key);
-    if (pending?.engine === engine) {
-      requestFromNextEngine(pending);
-    }
+    [...pendingLoads.values()]
+      .filter((pending) => pending.wanted.key === key && pending.engine === engine)
+      .forEach(requestFromNextEngine);
   }
 
   return { request, resolveServable, retryElsewhere, getPendingCount: () => pendingLoads.size };
 }
+
+function getLoadKey({ key, softwareVersion }: WantedAdapter): string {
+  return JSON.stringify([key, softwareVersion]);
+}
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -169,6 +169,7 @@
           { kind: 'upstreamCrash' },
           { kind: 'requestServed' },
           { kind: 'blocks' },
+          { kind: 'streamOrigins' },
           { kind: 'upstreamLimits' },
           { kind: 'permitWanted' },
           { kind: 'permit' },
--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -11,6 +11,7 @@
 import type RateLimiting from '../rateLimits/RateLimiting';
 import type Result from '../shared/Result';
 import type Clock from '../shared/Clock';
+import getSoftwareVersion from '../streams/getSoftwareVersion';
 import type Candidate from '../upstream/Candidate';
 import chooseUpstream from '../upstream/chooseUpstream';
 import type Upstream from '../upstream/Upstream';
@@ -34,6 +35,8 @@
   getManifest(): Manifest | undefined;
   /** Returns the version of an adapter or a model that is in force, or 0 if none was announced. */
   getVersion(key: string): number;
+  /** Returns whether all VMs know the software version of an upstream. */
+  isVersionKnownToAll(now: number, upstream: Upstream): boolean;
   /** Returns the prefill time of the prompts queued on an engine, in milliseconds. */
   getBacklogMs(engine: string): number;
   /** Returns a number from 0 to 1. */
@@ -104,12 +107,37 @@
     return lastPlacement ?? refuse(request, adapter === undefined ? 'noUpstream' : 'noAdapter');
   }
 
+  /** Returns the upstreams that can serve a request: for a stream that has begun, those of its version. */
+  function getUsable(request: ActiveRequest): Upstream[] {
+    const ready = upstreams.getReady(request.service);
+    const { softwareVersion } = request;
+    return softwareVersion === undefined
+      ? ready
+      : ready.filter((upstream) => getSoftwareVersion(upstream) === softwareVersion);
+  }
+
+  /**
+   * Returns the upstreams at which a stream that may be resumed begins: those whose software version all
+   * VMs know, if there are any.
+   */
+  function preferKnown(now: number, request: ActiveRequest, usable: Upstream[]): Upstream[] {
+    if (!request.route.isResumable || request.softwareVersion !== undefined) {
+      return usable;
+    }
+    const known = usable.filter((upstream) => host.isVersionKnownToAll(now, upstream));
+    return known.length > 0 ? known : usable;
+  }
+
   function placeAtAnyUpstream(
     request: ActiveRequest,
     excludedUpstreams: ReadonlySet<string>,
   ): Result<Placement, Refusal> {
     const now = host.now();
-    const candidates = getCandidates(now, upstreams.getReady(request.service), excludedUpstreams);
+    const candidates = getCandidates(
+      now,
+      preferKnown(now, request, getUsable(request)),
+      excludedUpstreams,
+    );
     const chosen = chooseUpstream(candidates, options.dataCentre);
     const upstream = chosen && upstreams.tryGet(chosen.id);
     return upstream
@@ -129,9 +157,11 @@
   ): Result<Placement, Refusal> | undefined {
     const now = host.now();
     const version = host.getVersion(key);
-    const ready = upstreams.getReady(request.service);
-    const holders = ready.filter(
-      ({ id }) => engineStates.isResident(id, key, version) && !isExcluded(id),
+    const ready = getUsable(request);
+    const holders = preferKnown(
+      now,
+      request,
+      ready.filter(({ id }) => engineStates.isResident(id, key, version) && !isExcluded(id)),
     );
     const candidates = getCandidates(now, holders, excludedUpstreams);
     // The permits of limited engines are left to requests whose adapter no other engine holds.
@@ -203,12 +233,15 @@
       const cancelTimer = host.setTimer(Math.max(0, remainingMs), () => end(false));
       let cancelWait = () => {};
       Object.assign(request, { abort: () => end(false) });
-      const cancel = parts
-        .getPendingLoads()
-        .request(
-          { ...wanted, version: host.getVersion(wanted.key), urgency: request.route.urgency },
-          end,
-        );
+      const cancel = parts.getPendingLoads().request(
+        {
+          ...wanted,
+          version: host.getVersion(wanted.key),
+          urgency: request.route.urgency,
+          softwareVersion: request.softwareVersion,
+        },
+        end,
+      );
       cancelWait = cancel;
     });
   }
@@ -240,11 +273,16 @@
    */
   function getLoadTargets(
     now: number,
-    wanted: { key: string; model: string; version: number },
+    wanted: { key: string; model: string; version: number; softwareVersion?: string },
   ): LoadTarget[] {
+    const { softwareVersion } = wanted;
     const usable = upstreams
       .getAll()
-      .filter((upstream) => upstream.state === 'ready' && !health.isSuspended(now, upstream.id));
+      .filter((upstream) => upstream.state === 'ready' && !health.isSuspended(now, upstream.id))
+      .filter(
+        (upstream) =>
+          softwareVersion === undefined || getSoftwareVersion(upstream) === softwareVersion,
+      );
     const unlimited = usable.filter((upstream) => !rateLimiting.isLimited(upstream));
     const targets = getLoadTargetsAmong(now, wanted, unlimited);
     return targets.length > 0 ? targets : getLoadTargetsAmong(now, wanted, usable);
@@ -305,7 +343,7 @@
   ): Result<never, Refusal> {
     const now = host.now();
     const { model, adapter } = request.callerRequest;
-    const ready = upstreams.getReady(request.service);
+    const ready = getUsable(request);
     const key = getAdapterKey(model ?? '', adapter);
     const isEngine = host.getManifest()?.services.get(request.service)?.engine !== undefined;
     const limited = ready.filter(
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -32,6 +32,8 @@
 import createCrashDetector from '../quarantine/createCrashDetector';
 import createCrashGuard from '../quarantine/createCrashGuard';
 import createRateLimiting from '../rateLimits/createRateLimiting';
+import createStreamOrigins from '../streams/createStreamOrigins';
+import getSoftwareVersion from '../streams/getSoftwareVersion';
 import createUsage from '../usage/createUsage';
 import getUsageSource from '../usage/getUsageSource';
 import createUsagePublisher from '../usage/createUsagePublisher';
@@ -48,6 +50,12 @@
 const PERMIT_ISSUER_INTERVAL_MS = 250;
 /** Interval at which limits of upstreams are repeated, for VMs that missed them. */
 const LIMITS_INTERVAL_MS = 1000;
+const ORIGINS_INTERVAL_MS = 50;
+/**
+ * Below the time after which a new software version is used, so that a VM whose mirror is this old
+ * knows of it.
+ */
+const UP_TO_DATE_MS = 2000;
 /** Interval at which blocks are repeated, for VMs that missed them. */
 const BLOCKS_INTERVAL_MS = 1000;
 /** Characters that are logged of a registration that can't be decoded. */
@@ -68,6 +76,7 @@
   const prefill = createPrefillScheduler(host.setTimer);
   const versions = new Map<string, number>();
   let manifest: Manifest | undefined;
+  let resumableServices: ReadonlySet<string> = new Set();
 
   const mirror = createMirror({
     ...host,
@@ -201,6 +210,7 @@
       getManifest: () => manifest,
       getVersion,
       getBacklogMs: prefill.getBacklogMs,
+      isVersionKnownToAll: (now, upstream) => streamOrigins.isKnownToAll(now, upstream),
     },
     { upstreams, usage, health, engineStates, rateLimiting, getPendingLoads: () => pendingLoads },
     options,
@@ -228,6 +238,8 @@
         .some(
           (upstream) =>
             upstream.state === 'ready' &&
+            (wanted.softwareVersion === undefined ||
+              getSoftwareVersion(upstream) === wanted.softwareVersion) &&
             engineStates.isResident(upstream.id, wanted.key, wanted.version) &&
             !rateLimiting.isClosed(now, upstream),
         ),
@@ -255,6 +267,21 @@
     ...host,
     onCrash: (report) => crashGuard.reportCrash(host.now(), report),
   });
+  const streamOrigins = createStreamOrigins(
+    {
+      ...host,
+      tryGetRecord: mirror.tryGet,
+      isWriter: isReader,
+      isUpToDate: (now) => now - mirror.getConfirmedAt() < UP_TO_DATE_MS || isConnected(now),
+      getUpstreams: upstreams.getAll,
+      getServices: () => resumableServices,
+      getHub: broadcaster.getHub,
+      getDataCentreCount: () =>
+        new Set(members.getMembers().map(({ dataCentre }) => dataCentre)).size,
+      broadcast: broadcaster.broadcast,
+    },
+    { address, incarnation },
+  );
   const retryBudget = createServiceRetryBudget(members.getSharerCount, options.getRetryLimits);
   const gateway = createGateway({
     ...host,
@@ -264,6 +291,7 @@
       {
         ...host,
         tryGetBlock: crashGuard.tryGetBlock,
+        recordStreamBegin: streamOrigins.recordBegin,
         recordServed: crashGuard.recordServed,
         recordBegun: crashGuard.recordBegun,
         getService: (name) => manifest?.services.get(name),
@@ -285,6 +313,7 @@
       { upstreams, usage, health, prefillClient, rateLimiting, crashDetector },
     ),
     tryGetBlock: crashGuard.tryGetBlock,
+    tryGetOrigin: streamOrigins.tryGetOrigin,
     tryGetLimit: rateLimiting.tryGet,
     recordRequest: retryBudget.recordRequest,
     tryRetry: retryBudget.tryTake,
@@ -300,6 +329,13 @@
     return chooseReaders(vms).includes(address);
   }
 
+  /** Returns whether this VM has recently received heartbeats of most of the others. */
+  function isConnected(now: number): boolean {
+    const others = members.getMembers();
+    const heard = others.filter((member) => members.hasRecentHeartbeat(now, member.address));
+    return heard.length * 2 >= others.length;
+  }
+
   /** Requests changes from a VM whose mirror is newer; returns false if there is none. */
   function requestChanges(now: number, afterRevision: number, ownRevision: number): boolean {
     const vms = members
@@ -340,8 +376,11 @@
   }
 
   function applyChange(now: number, change: Change, isForgotten: boolean): void {
-    if (!isForgotten) {
+    if (isForgotten) {
+      streamOrigins.handleForgotten(change.key);
+    } else {
       crashGuard.receiveRecord(now, change.key, change.value);
+      streamOrigins.receiveRecord(now, change.key, change.value);
     }
     match(host.decodeChange(change))
       .with({ kind: 'manifest' }, (decoded) => applyManifest(decoded.manifest, change.revision))
@@ -372,6 +411,11 @@
       return;
     }
     manifest = newManifest;
+    resumableServices = new Set(
+      newManifest.routes
+        .filter(({ isResumable }) => isResumable)
+        .flatMap(({ targets }) => targets.map(({ service }) => service)),
+    );
     metrics.tableRevision.set(newManifest.version);
     host.log('manifestApplied', {
       manifest: newManifest.version,
@@ -469,6 +513,9 @@
       .with({ kind: 'permitWanted' }, (wanted) => rateLimiting.handleRequest(from, wanted))
       .with({ kind: 'permit' }, ({ id, ...reply }) => rateLimiting.handleReply(id, reply))
       .with({ kind: 'upstreamCrash' }, (report) => crashGuard.receiveCrash(now, report))
+      .with({ kind: 'streamOrigins' }, ({ origins, isPublished }) =>
+        streamOrigins.receive(now, origins, isPublished),
+      )
       .with({ kind: 'requestServed' }, ({ trait }) => crashGuard.receiveServed(now, trait))
       .with({ kind: 'blocks' }, ({ blocks }) => crashGuard.receiveBlocks(now, blocks))
       .with({ kind: 'engineDoubted' }, ({ engine }) => engines.tryGet(engine)?.invalidateState())
@@ -494,6 +541,7 @@
     runPeriodically(host, PERMIT_ISSUER_INTERVAL_MS, () => rateLimiting.refresh(host.now()));
     runPeriodically(host, LIMITS_INTERVAL_MS, () => rateLimiting.publish(host.now()));
     runPeriodically(host, STATES_INTERVAL_MS, () => engines.announceStates());
+    runPeriodically(host, ORIGINS_INTERVAL_MS, () => streamOrigins.publish(host.now()));
     runPeriodically(host, BLOCKS_INTERVAL_MS, () => crashGuard.publish(host.now()));
   }
 
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -65,6 +65,28 @@
   traitUnblocked: e(251, 'info', 'Requests with a trait are no longer refused.'),
   blockUnreadable: e(252, 'warn', 'The record of a block could not be decoded.'),
   blockUnwritten: e(253, 'warn', 'The record of a block was not written.'),
+  softwareVersionsMixed: e(
+    260,
+    'info',
+    'A service has several software versions; the origins of its streams are published.',
+  ),
+  softwareVersionsRecorded: e(
+    261,
+    'info',
+    'The software versions at which streams of a service can have begun were recorded.',
+  ),
+  softwareVersionsUnreadable: e(
+    262,
+    'warn',
+    'The record of the software versions of a service could not be decoded.',
+  ),
+  softwareVersionsUnwritten: e(
+    263,
+    'warn',
+    'The record of the software versions of a service was not written.',
+  ),
+  streamOriginsUnwritten: e(264, 'warn', 'Origins of streams were not recorded; they will be.'),
+  streamOriginsUnreadable: e(265, 'warn', 'A record of origins of streams could not be decoded.'),
   clockJumped: e(240, 'warn', 'The time of day jumped relative to the steady clock.'),
   loopDelayed: e(241, 'warn', 'The event loop of this entry VM was held up.'),
   rowApplied: e(300, 'debug', 'A table row is in force on this entry VM.'),
--- a/src/gateway/ActiveRequest.ts
+++ b/src/gateway/ActiveRequest.ts
@@ -11,6 +11,11 @@
   response: ResponseWriter;
   arrivedAt: number;
   deadlineAt: number;
+  /**
+   * Software version of the upstream at which the stream began, and at which alone it goes on; undefined
+   * before its first event. See `getSoftwareVersion`.
+   */
+  softwareVersion: string | undefined;
   /** Whether the status line and headers have been written to the caller. */
   isHeadWritten: boolean;
   /** Id of the last event written to the caller; set only for streams that may be resumed. */
--- a/src/gateway/Refusal.ts
+++ b/src/gateway/Refusal.ts
@@ -13,6 +13,8 @@
       seen?: CapacityDetails;
     }
   | { kind: 'deadline'; retryAfterMs: number }
+  /** The request resumes a stream, and the software version at which that began is not known. */
+  | { kind: 'unknownOrigin'; retryAfterMs: number }
   /** A trait of the request crashes upstreams; none will run it until the block ends. */
   | { kind: 'blocked'; trait: string; retryAfterMs: number };
 
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -7,6 +7,8 @@
 import type createPrefillClient from '../prefill/createPrefillClient';
 import getPrefillMs from '../prefill/getPrefillMs';
 import type createConnections from '../upstream/createConnections';
+import getSoftwareVersion from '../streams/getSoftwareVersion';
+import type Upstream from '../upstream/Upstream';
 import type UpstreamHealth from '../upstream/UpstreamHealth';
 import type Upstreams from '../upstream/Upstreams';
 import type Usage from '../usage/Usage';
@@ -53,6 +55,8 @@
   reportMissingAdapter(engine: string, key: string): void;
   /** Returns a block if requests like this one crash upstreams. */
   tryGetBlock(now: number, request: CallerRequest): unknown;
+  /** Records where a stream that may be resumed began. */
+  recordStreamBegin(now: number, request: string, upstream: Upstream): void;
   /** Reports that an upstream served a request. */
   recordServed(now: number, request: CallerRequest): void;
   /** Reports that an upstream did not end as it began to respond. */
@@ -154,6 +158,12 @@
             handler,
           );
         },
+        onFirstEvent: (now) => {
+          if (request.softwareVersion === undefined) {
+            Object.assign(request, { softwareVersion: getSoftwareVersion(upstream) });
+            host.recordStreamBegin(now, request.callerRequest.id, upstream);
+          }
+        },
         onHead: (now, head) => parts.rateLimiting.observe(now, upstream, head, sentAt),
         onFirstByte: (now, head) => {
           beganAt ??= now;
--- a/src/gateway/createGateway.ts
+++ b/src/gateway/createGateway.ts
@@ -1,17 +1,20 @@
 import type Log from '../events/Log';
 import type Metrics from '../metrics/Metrics';
 import type Manifest from '../manifest/Manifest';
+import type Route from '../manifest/Route';
 import pickTarget from '../manifest/pickTarget';
 import tryGetRoute from '../manifest/tryGetRoute';
 import getTraits from '../quarantine/getTraits';
 import type Result from '../shared/Result';
 import type Clock from '../shared/Clock';
+import type StreamOrigin from '../streams/StreamOrigin';
 import type AttemptOutcome from './AttemptOutcome';
 import type CallerRequest from './CallerRequest';
 import type Upstream from '../upstream/Upstream';
 import type ActiveRequest from './ActiveRequest';
 import type Placement from './Placement';
 import type Refusal from './Refusal';
+import getRetryAfterMs from './getRetryAfterMs';
 import type ResponseWriter from './ResponseWriter';
 import serveRequest from './serveRequest';
 import writeRefusal from './writeRefusal';
@@ -30,6 +33,8 @@
   attempt(request: ActiveRequest, placement: Placement, isLast: boolean): Promise<AttemptOutcome>;
   /** Returns the trait of a request for which it is refused, and the time until that ends. */
   tryGetBlock(now: number, request: CallerRequest): { trait: string; endsInMs: number } | undefined;
+  /** Returns where the stream began that a request resumes; undefined if that is not known. */
+  tryGetOrigin(now: number, request: CallerRequest, route: Route): StreamOrigin | undefined;
   /** Returns the requests a second that an upstream takes, if it states a limit. */
   tryGetLimit(upstream: Upstream): number | undefined;
   recordRequest(now: number, service: string): void;
@@ -75,7 +80,15 @@
       refuse(callerRequest, response, { kind: 'blocked', trait, retryAfterMs: endsInMs });
       return () => {};
     }
-    const service = pickTarget(route, host.random());
+    const isResumption = route.isResumable && callerRequest.resumeAfter !== undefined;
+    const origin = isResumption ? host.tryGetOrigin(arrivedAt, callerRequest, route) : undefined;
+    const isServiceRouted = route.targets.some(({ service }) => service === origin?.service);
+    if (isResumption && !isServiceRouted) {
+      const retryAfterMs = getRetryAfterMs(host.random());
+      refuse(callerRequest, response, { kind: 'unknownOrigin', retryAfterMs });
+      return () => {};
+    }
+    const service = origin?.service ?? pickTarget(route, host.random());
     const timeoutMs = Math.min(route.timeoutMs, callerRequest.deadlineMs ?? Infinity);
     const request: ActiveRequest = {
       callerRequest,
@@ -84,6 +97,7 @@
       response,
       arrivedAt,
       deadlineAt: arrivedAt + timeoutMs,
+      softwareVersion: origin?.version,
       isHeadWritten: false,
       lastEventId: undefined,
       framing: undefined,
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -25,6 +25,8 @@
   decodeHead(status: number, headers: Record<string, string | string[] | undefined>): ResponseHead;
   onHead(now: number, head: ResponseHead): void;
   onFirstByte(now: number, head: ResponseHead): void;
+  /** Called before the first event of a stream that may be resumed is written to the caller. */
+  onFirstEvent(now: number): void;
 }
 
 /**
@@ -89,6 +91,9 @@
           request.lastEventId !== undefined &&
           event.id <= request.lastEventId;
         if (!isDuplicate) {
+          if (request.route.isResumable && request.lastEventId === undefined) {
+            host.onFirstEvent(host.now());
+          }
           writeHead(head!);
           forward(event.bytes);
           if (request.route.isResumable) {
--- a/src/gateway/writeRefusal.ts
+++ b/src/gateway/writeRefusal.ts
@@ -16,7 +16,16 @@
     .with('bodyTooLarge', () => 413)
     .with('slowBody', () => 408)
     .with(
-      P.union('notReady', 'noUpstream', 'busy', 'noAdapter', 'limited', 'deadline', 'blocked'),
+      P.union(
+        'notReady',
+        'noUpstream',
+        'busy',
+        'noAdapter',
+        'limited',
+        'deadline',
+        'blocked',
+        'unknownOrigin',
+      ),
       () => 503,
     )
     .exhaustive();
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -285,6 +285,15 @@
     kind: z.literal('blocks'),
     blocks: z.array(z.object({ trait: z.string(), version: z.number(), isBlocked: z.boolean() })),
   }),
+  /**
+   * Carries where streams began; see `src/streams/StreamOrigin.ts`. Unless `isPublished` is set, the
+   * receiver passes it on to all VMs.
+   */
+  z.object({
+    kind: z.literal('streamOrigins'),
+    origins: z.array(z.object({ request: z.string(), service: z.string(), version: z.string() })),
+    isPublished: z.boolean(),
+  }),
   /** Carries limits of upstreams; see `src/rateLimits/LimitStatement.ts`. */
   z.object({ kind: z.literal('upstreamLimits'), statements: z.array(UpstreamLimit) }),
   /**
--- a/test/platform/endlessResponse.test.ts
+++ b/test/platform/endlessResponse.test.ts
@@ -149,6 +149,7 @@
       }),
       onHead: () => {},
       onFirstByte: () => {},
+      onFirstEvent: () => {},
     },
     request,
     Infinity,
--- a/test/routed/serve.test.ts
+++ b/test/routed/serve.test.ts
@@ -215,6 +215,7 @@
     },
     route,
     service: 's',
+    softwareVersion: undefined,
     response,
     arrivedAt: clock.now(),
     deadlineAt: clock.now() + route.timeoutMs,
@@ -319,6 +320,7 @@
                   }),
                   onHead: () => {},
                   onFirstByte: () => {},
+                  onFirstEvent: () => {},
                 },
                 request,
                 Infinity,
@@ -353,11 +355,11 @@
     id,
     startedAt: 1,
     service: 's',
+    softwareVersion: undefined,
     address: '127.0.0.1:1',
     dataCentre: 'x',
     state: 'ready' as const,
     slots: 1,
-    softwareVersion: undefined,
     models: [],
   };
   return { upstream, version: undefined, inFlight: 0 };
