Stand-in, lab and soak play several software versions, and kills of all VMs

Model servers restart with another version of their software; callers take up streams that broke off and name the request that began them; more than two streams with events of two versions are a violation.

--- a/scripts/lab.ts
+++ b/scripts/lab.ts
@@ -117,7 +117,9 @@
     const share = (use.arrived / use.allowed).toFixed(2);
     process.stderr.write(`${use.server}: ${share} of its limit used (${use.arrived})\n`);
   });
-  violations.push(...callers.getCrashViolations(record));
+  violations.push(...callers.getCrashViolations(record), ...callers.getMixedViolations());
+  const { takenUp, wentOn } = callers.getTakenUp();
+  process.stderr.write(`${takenUp} streams taken up, ${wentOn} went on\n`);
   callers
     .getResults()
     .filter(({ sentAt, crash }) => sentAt - startedAt >= WARM_UP_MS && crash === 'none')
--- a/scripts/platform/createCallers.ts
+++ b/scripts/platform/createCallers.ts
@@ -25,7 +25,10 @@
   /** HTTP status; 0 if the connection ended before the complete response. */
   status: number;
   signature: string;
+  /** For a stream that was taken up, with the events of its former attempts. */
   body: string;
+  /** The attempt whose stream this one takes up. */
+  former: RequestResult | undefined;
 }
 
 const KINDS: readonly RequestKind[] = ['chat', 'chat', 'chat', 'resume', 'hold', 'look'];
@@ -40,6 +43,11 @@
 const KNOWN_REQUEST_CRASHES = 3;
 const KNOWN_AFTER_MS = 3000;
 const MAX_LATE_ARRIVALS = 3;
+/** More streams than this must not hold events of two software versions. */
+const MAX_MIXED_STREAMS = 2;
+const MAX_TAKE_UPS = 3;
+const TAKE_UP_PAUSE_MS = 300;
+const SUCCESS = 200;
 const NOT_RUN = new Set([408, 421, 429, 503]);
 
 /**
@@ -65,6 +73,8 @@
   let addresses: string[] = [];
   let isStopped = false;
   let count = 0;
+  const takenUp = new Set<string>();
+  const wentOn = new Set<string>();
   const pending = new Set<Promise<void>>();
 
   async function resolveAddresses(): Promise<void> {
@@ -107,7 +117,35 @@
     const adapter = `a${1 + Math.floor(options.random() ** 2 * options.adapters)}`;
     const vm = addresses[Math.floor(options.random() * addresses.length)];
     count += 1;
-    await send(`${options.name}-${kind}-${count}`, kind, adapter, vm, pickCrash(kind));
+    const id = `${options.name}-${kind}-${count}`;
+    const result = await send(id, kind, adapter, vm, pickCrash(kind));
+    if (kind === 'resume') {
+      await takeUp(result);
+    }
+  }
+
+  /** Takes up a stream that has broken off, a few times, by way of random VMs. */
+  async function takeUp(broken: RequestResult): Promise<void> {
+    let last = broken;
+    for (let round = 1; round <= MAX_TAKE_UPS && last.status === 0; round += 1) {
+      if (getEvents(last).length === 0) {
+        return;
+      }
+      takenUp.add(broken.id);
+      const next = await tryTakeUp(last, `${broken.id}-again-${round}`);
+      if (next.status === SUCCESS) {
+        wentOn.add(broken.id);
+      }
+      last = next.status === 0 ? next : last;
+    }
+  }
+
+  async function tryTakeUp(former: RequestResult, id: string): Promise<RequestResult> {
+    await new Promise((resolve) => {
+      setTimeout(resolve, TAKE_UP_PAUSE_MS);
+    });
+    const vm = addresses[Math.floor(options.random() * addresses.length)];
+    return send(id, 'resume', former.adapter, vm, 'none', former);
   }
 
   function pickCrash(kind: RequestKind): Crash {
@@ -125,6 +163,7 @@
     adapter: string,
     vm: string,
     crash: Crash = 'none',
+    former?: RequestResult,
   ): Promise<RequestResult> {
     const isStream = kind === 'chat' || kind === 'resume';
     const result: RequestResult = {
@@ -137,7 +176,8 @@
       endedAt: 0,
       status: 0,
       signature: '',
-      body: '',
+      body: former ? getEvents(former).join('') : '',
+      former,
     };
     try {
       const response = await request(
@@ -153,6 +193,10 @@
               'token-count': '400,40',
               'prompt-prefix': getPrompt(id, adapter, crash === 'part'),
             }),
+            ...(former && {
+              'last-event-id': String(getEvents(former).length),
+              resumes: getChain(former)[0],
+            }),
           },
           body: kind === 'look' ? undefined : `{"id":"${crash === 'request' ? '' : id}"}`,
           dispatcher: agent,
@@ -160,7 +204,12 @@
         },
       );
       result.signature = String(response.headers['response-signature'] ?? '');
-      result.body = await response.body.text();
+      if (response.statusCode !== SUCCESS) {
+        result.body = '';
+      }
+      for await (const chunk of response.body) {
+        result.body += String(chunk);
+      }
       result.status = response.statusCode;
     } catch {
       result.status = 0;
@@ -250,10 +299,25 @@
     });
   }
 
+  /** Returns a violation if too many streams hold events of two software versions. */
+  function getMixedViolations(): string[] {
+    const mixed = results.filter(
+      (result) =>
+        result.kind === 'resume' && new Set(getEvents(result).map(readSoftwareVersion)).size > 1,
+    );
+    const streams = [...new Set(mixed.map((result) => getChain(result)[0]))];
+    return streams.length > MAX_MIXED_STREAMS
+      ? [`${streams.length} streams hold events of two software versions: ${streams.join()}`]
+      : [];
+  }
+
   return {
     run,
     send,
     getCrashViolations,
+    getMixedViolations,
+    /** Returns how many streams were taken up after they had broken off, and how many went on. */
+    getTakenUp: () => ({ takenUp: takenUp.size, wentOn: wentOn.size }),
     stop,
     getViolations,
     recordVersion: (adapter: string, version: number) =>
@@ -267,7 +331,24 @@
   return `${first}:200,${isCrashing ? CRASHING_PART : `c${adapter}`}:100,${id}:100`;
 }
 
-function tryGetStreamViolation({ id, adapter, body }: RequestResult): string | undefined {
+/** Returns the ids of an attempt and of the former ones of its stream, the first one first. */
+function getChain({ id, former }: RequestResult): string[] {
+  return former ? [...getChain(former), id] : [id];
+}
+
+/** Returns the complete events of a stream. */
+function getEvents({ body }: RequestResult): string[] {
+  return [...body.matchAll(/id: \d+\ndata: [^\n]*\n\n/g)].map(([text]) => text);
+}
+
+function readSoftwareVersion(event: string): string {
+  return (JSON.parse(event.slice(event.indexOf('data: ') + 'data: '.length)) as { build: string })
+    .build;
+}
+
+function tryGetStreamViolation(result: RequestResult): string | undefined {
+  const { adapter, body } = result;
+  const ids = getChain(result);
   if (!body.endsWith('\n\n')) {
     return 'is framed as complete and ends inside an event';
   }
@@ -282,7 +363,7 @@
           event: number;
         },
     );
-  if (events.some((event) => event.id !== id || event.name !== adapter)) {
+  if (events.some((event) => !ids.includes(event.id) || event.name !== adapter)) {
     return 'contains events of another request';
   }
   const numbers = events.map(({ event }) => event).join();
--- a/scripts/platform/createFaults.ts
+++ b/scripts/platform/createFaults.ts
@@ -7,6 +7,9 @@
 const KEY_VALUE_FAULTS: readonly KeyValueFault[] = ['down', 'silent', 'slow', 'lost', 'late'];
 const SERVER_FAULTS: readonly ServerFault[] = ['loseAnswers', 'errors', 'silentOrders', 'unframed'];
 const RELAY_MODES: readonly RelayMode[] = ['cut', 'silent', 'noAnswers', 'slow'];
+const SOFTWARE_VERSIONS = ['v1', 'v1.1', 'v2'];
+/** Part of the draws of the fault that kills all VMs; it comes once in a run at most. */
+const KILL_ALL_SHARE = 0.5;
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 4000;
 
@@ -22,6 +25,7 @@
   const recoveries: { vm: string; since: number; at: number }[] = [];
   const servers: Record<string, ServerFault> = {};
   let manifest = 1;
+  let isAllKilled = false;
   const versions = new Map<string, number>();
 
   const pickRandom = <Value>(values: readonly Value[]) =>
@@ -132,6 +136,30 @@
       const rack = trial.servers.filter((server) => server.dataCentre === dataCentre);
       await trial.post('crash', { ids: rack.map(({ id }) => id) });
     },
+    release: async () => {
+      const models = trial.servers.filter(({ kind }) => kind === 'model');
+      const { id } = pickRandom(models);
+      const softwareVersion = pickRandom(SOFTWARE_VERSIONS);
+      options.log(`${id}: restarts with ${softwareVersion}`);
+      await trial.post('release', { ids: [id], softwareVersion });
+    },
+    killAll: async () => {
+      if (isAllKilled || faultyVms.size > 0 || random() > KILL_ALL_SHARE) {
+        return;
+      }
+      isAllKilled = true;
+      options.log('kill all VMs');
+      trial.vms.forEach((vm) => faultyVms.add(vm));
+      const since = Date.now();
+      await Promise.all(trial.vms.map((vm) => trial.endProcess(vm, 'SIGKILL')));
+      trial.vms.forEach(trial.startVm);
+      await Promise.all(trial.vms.map(trial.waitUntilReady));
+      trial.vms.forEach((vm) => {
+        faultyVms.delete(vm);
+        recoveries.push({ vm, since, at: Date.now() });
+      });
+      options.log('all VMs have recovered');
+    },
     version: async () => {
       const adapter = `a${1 + Math.floor(random() * options.adapters)}`;
       const version = (versions.get(adapter) ?? 1) + 1;
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -107,7 +107,7 @@
     const name = trial.vms.find((candidate) => trial.getAddress(candidate, 8080) === vm)!;
     return faults.wasDisturbedWithin(name, at, CONTACT_MS);
   });
-  violations.push(...crashViolations);
+  violations.push(...crashViolations, ...callers.getMixedViolations());
   const sentTo = new Map(callers.getResults().map(({ id, vm }) => [id, vm]));
   const limitUses = getLimitUses(record, ({ id, at }) => {
     const name = trial.vms.find((vm) => trial.getAddress(vm, 8080) === sentTo.get(id))!;
@@ -129,7 +129,7 @@
   const results = callers.getResults();
   const served = results.filter(({ status }) => status === 200).length;
   process.stdout.write(
-    `${JSON.stringify({ seed, sent: results.length, served, orders: record.orders, limits: getUsedShare(limitUses), wrong: violations })}\n`,
+    `${JSON.stringify({ seed, sent: results.length, served, orders: record.orders, limits: getUsedShare(limitUses), ...callers.getTakenUp(), wrong: violations })}\n`,
   );
   if (violations.length > 0) {
     keepLogs(seed, { notes, wrong: violations, answers: results, ledger: record }, trial);
--- a/standins/platform/createModelServer.ts
+++ b/standins/platform/createModelServer.ts
@@ -9,6 +9,8 @@
 
 const LOAD_MS = 250;
 const EVENT_INTERVAL_MS = 12;
+/** Streams that may be resumed last longer, so that faults meet them. */
+const RESUMABLE_EVENT_INTERVAL_MS = 80;
 const FIRST_EVENT_DELAY_MS = 25;
 const EVENT_COUNT = 8;
 const LATE_COMMAND_DELAY_MS = 2500;
@@ -40,6 +42,8 @@
   model: string;
   slots: number;
   adapterSlots: number;
+  /** Returns the version of the server's software. */
+  getSoftwareVersion(): string;
   getFault(): ServerFault;
   /** Returns the newest announced version of an adapter. */
   getNewestVersion(adapter: string): number;
@@ -235,6 +239,7 @@
       isOnce,
     });
     let event = from;
+    const build = options.getSoftwareVersion();
     streamCount += 1;
     const isUnframed = options.getFault() === 'unframed';
     const isTruncated = isUnframed && streamCount % TRUNCATION_INTERVAL === 0;
@@ -257,14 +262,14 @@
         });
       }
       event += 1;
-      const text = `id: ${event}\ndata: ${JSON.stringify({ id, name, version, event })}\n\n`;
+      const text = `id: ${event}\ndata: ${JSON.stringify({ id, name, version, event, build })}\n\n`;
       const isLast = event >= EVENT_COUNT;
       response.write(isLast && isTruncated ? text.slice(0, text.length / 2) : text);
       if (isLast) {
         end();
         response.end();
       } else {
-        setTimeout(send, EVENT_INTERVAL_MS);
+        setTimeout(send, isOnce ? EVENT_INTERVAL_MS : RESUMABLE_EVENT_INTERVAL_MS);
       }
     };
     setTimeout(send, FIRST_EVENT_DELAY_MS);
--- a/standins/platform/main.ts
+++ b/standins/platform/main.ts
@@ -43,6 +43,7 @@
   servers: {},
 };
 const bootTimes = new Map(layout.servers.map(({ id }) => [id, Date.now()]));
+const softwareVersions = new Map<string, string>();
 const crashes = new Map<string, () => void>();
 /** Requests a second that servers state. */
 const limits = new Map<string, number>();
@@ -78,6 +79,7 @@
     model: layout.model,
     slots: layout.slots,
     adapterSlots: layout.places,
+    getSoftwareVersion: () => getSoftwareVersion(server.id),
     getFault,
     recordArrival,
     getNewestVersion: (adapter) => versions.get(adapter) ?? 1,
@@ -124,6 +126,18 @@
   ids.forEach((id) => crashes.get(id)?.());
   return context.body(null, 200);
 });
+/** Restarts servers with another version of their software. */
+control.post('/release', async (context) => {
+  const { ids, softwareVersion } = await context.req.json<{
+    ids: string[];
+    softwareVersion: string;
+  }>();
+  ids.forEach((id) => {
+    crashes.get(id)?.();
+    softwareVersions.set(id, softwareVersion);
+  });
+  return context.body(null, 200);
+});
 control.post('/forget', (context) => {
   store.compactHistory();
   return context.body(null, 200);
@@ -152,6 +166,10 @@
 listen(createAdaptorServer({ fetch: control.fetch }) as http.Server, layout.control);
 process.on('SIGTERM', () => process.exit(0));
 
+function getSoftwareVersion(server: string): string {
+  return softwareVersions.get(server) ?? 'v1';
+}
+
 function setLimit(server: string, perSecond: number | null): void {
   if (perSecond === null && !limits.delete(server)) {
     return;
@@ -167,7 +185,7 @@
     Backend: server.service,
     Addr: server.announced,
     Zone: server.dataCentre,
-    Version: '1',
+    Version: getSoftwareVersion(server.id),
     Slots: server.kind === 'plain' ? 6 : layout.slots,
     State: 'ready',
     Seq: 1,
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -174,6 +174,29 @@
     );
   });
 
+  it('let streams go on only at their software version, also after all VMs were killed', async () => {
+    const [engine] = trial.servers;
+    await trial.post('release', { ids: [engine.id], softwareVersion: 'v2' });
+    const callers = createCallers(trial, {
+      name: 'mixed',
+      random: createRandom(7),
+      adapters: ADAPTER_COUNT,
+      pauseMs: 15,
+    });
+    const running = callers.run();
+    await wait(AFTER_KILL_MS);
+    await Promise.all(trial.vms.map((vm) => trial.endProcess(vm, 'SIGKILL')));
+    trial.vms.forEach(trial.startVm);
+    await Promise.all(trial.vms.map(trial.waitUntilReady));
+    await wait(FAULT_FREE_MS);
+    await callers.stop();
+    await running;
+    const ledger = await trial.getExecutionRecord();
+    expect(callers.getMixedViolations()).to.deep.equal([]);
+    expect(callers.getViolations(ledger)).to.deep.equal([]);
+    expect(callers.getTakenUp().takenUp).to.be.above(0);
+  });
+
   it('keep serving when an owner of engines is killed and restarted', async () => {
     const owner = trial.vms.find((vm) => trial.getLog(vm).includes('"engineTaken"'))!;
     await runWithCallers('kill', async () => {
