A response without an id on a kept connection is no response to the present request

A faulty server that wrote an earlier refusal once more on a kept connection had its request refused as not run while it ran, or sent to a second upstream, if the refusal named no request: only a wrong id was noticed. Such a response now counts as lost, unless it is the first on its connection. The test sent the request to a second upstream before (2 attempts); one attempt and 502 after. Responses to commands of engines name no request; a wrong one is found by the engine's next report (read, not run).

--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -145,9 +145,13 @@
     };
 
     const handler: ResponseHandler = {
-      onHead: (status, headers) => {
+      onHead: (status, headers, isReused = false) => {
         const responseHead = host.decodeHead(status, headers);
-        if (responseHead.id !== undefined && responseHead.id !== request.callerRequest.id) {
+        // A response without an id can be an earlier one that was sent again.
+        const isOwn =
+          responseHead.id === request.callerRequest.id ||
+          (responseHead.id === undefined && !isReused);
+        if (!isOwn) {
           abortWith({ kind: 'lost', reason: 'answer to another request' });
           return;
         }
--- a/src/upstream/ResponseHandler.ts
+++ b/src/upstream/ResponseHandler.ts
@@ -5,7 +5,12 @@
  * replace any of these calls and is the last one.
  */
 interface ResponseHandler {
-  onHead(status: number, headers: Record<string, string | string[] | undefined>): void;
+  /** `isReused`: the connection has carried other requests before. */
+  onHead(
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+    isReused?: boolean,
+  ): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
   onError(error: TransportError): void;
--- a/src/upstream/createConnections.ts
+++ b/src/upstream/createConnections.ts
@@ -34,6 +34,8 @@
   socket: Socket | undefined;
   /** Whether the peer reset it; a response delimited only by the close is then incomplete. */
   isReset: boolean;
+  /** Whether a request was sent on it before the present one. */
+  isReused: boolean;
   /** Value of `socket.bytesRead` at which a head that has not ended is given up. */
   headEndsBefore: number;
 }
@@ -58,7 +60,7 @@
   ): Controls | undefined {
     const group = groups.get(address) ?? { idle: [], openCount: 0 };
     groups.set(address, group);
-    const connection = group.idle.pop() ?? openConnection(address, group, maxConnections);
+    const connection = tryTakeIdle(group) ?? openConnection(address, group, maxConnections);
     return connection && dispatchRequest(connection, group, message, handler);
   }
 
@@ -94,6 +96,7 @@
       client,
       socket: undefined,
       isReset: false,
+      isReused: false,
       headEndsBefore: Infinity,
     };
     client.on('disconnect', () => dropConnection(connection, group));
@@ -153,7 +156,7 @@
           if (status >= 200) {
             connection.headEndsBefore = Infinity;
             if (!isEnded) {
-              handler.onHead(status, headers);
+              handler.onHead(status, headers, connection.isReused);
             }
           }
         },
@@ -202,6 +205,11 @@
   };
 }
 
+function tryTakeIdle(group: ConnectionGroup): Connection | undefined {
+  const connection = group.idle.pop();
+  return connection && Object.assign(connection, { isReused: true });
+}
+
 /** Ends a connection that delivers bytes without end before the final head of a response. */
 function endIfHeadTooLarge({ socket, headEndsBefore }: Connection): void {
   if (socket && socket.bytesRead > headEndsBefore) {
--- a/standins/platform/createModelServer.ts
+++ b/standins/platform/createModelServer.ts
@@ -72,7 +72,10 @@
     const body = Buffer.concat(parts).toString();
     const expected = request.headers['expect-instance'];
     if (expected !== undefined && expected !== options.id) {
-      response.writeHead(421, { 'not-executed': '1' });
+      response.writeHead(421, {
+        'not-executed': '1',
+        'request-id': String(request.headers['request-id'] ?? ''),
+      });
       response.end();
     } else if (request.url === '/api/report') {
       response.end(JSON.stringify(getReport()));
--- a/test/platform/connections.test.ts
+++ b/test/platform/connections.test.ts
@@ -51,6 +51,26 @@
     expect(await sendRequest(address)).to.deep.include({ kind: 'error' });
   });
 
+  it('says whether a connection has carried other requests before', async () => {
+    const address = await listen((socket) =>
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'),
+    );
+    const connections = createConnections(() => {});
+    const reused: (boolean | undefined)[] = [];
+    for (let count = 0; count < 2; count += 1) {
+      await new Promise<void>((resolve) => {
+        connections.send(address, REQUEST, 1, {
+          onHead: (_, __, isReused) => reused.push(isReused),
+          onData: () => {},
+          onEnd: resolve,
+          onError: () => resolve(),
+        });
+      });
+    }
+    connections.close();
+    expect(reused).to.deep.equal([false, true]);
+  });
+
   it('does not reuse a connection on which more than one response arrived', async () => {
     let connectionCount = 0;
     const response = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
--- a/test/routed/serve.test.ts
+++ b/test/routed/serve.test.ts
@@ -14,6 +14,7 @@
 type UpstreamBehavior =
   | { kind: 'response'; status: number; body: string }
   | { kind: 'notRun'; status: number }
+  | { kind: 'refusalWithoutId'; isReused: boolean }
   | { kind: 'refuseConnection' }
   | { kind: 'reset' }
   | { kind: 'otherResponse' }
@@ -104,6 +105,25 @@
     expect(fixture.response.body).not.to.contain('secret');
   });
 
+  it('takes no refusal of an unnamed request on a kept connection for its own', async () => {
+    const fixture = createTestRequest({ kind: 'nonIdempotent' }, [
+      { kind: 'refusalWithoutId', isReused: true },
+      createResponse(200),
+    ]);
+    await fixture.run();
+    expect(fixture.getSentCount()).to.equal(1);
+    expect(fixture.response.status).to.equal(502);
+  });
+
+  it('takes the first response on a connection for its own, also without an id', async () => {
+    const fixture = createTestRequest({ kind: 'nonIdempotent' }, [
+      { kind: 'refusalWithoutId', isReused: false },
+      createResponse(200),
+    ]);
+    await fixture.run();
+    expect(fixture.response.status).to.equal(200);
+  });
+
   it('resumes a broken resumable stream elsewhere without missing or repeated events', async () => {
     const fixture = createTestRequest({ kind: 'stream', isResumable: true, attempts: 2 }, [
       { kind: 'events', from: 1, to: 3, isBroken: true },
@@ -267,6 +287,10 @@
         handler.onData(Buffer.from('secret'));
         handler.onEnd();
         break;
+      case 'refusalWithoutId':
+        handler.onHead(503, { ran: 'no' }, behavior.isReused);
+        handler.onEnd();
+        break;
       case 'events':
         handler.onHead(200, { id: 'q1' });
         for (let id = behavior.from; id <= behavior.to; id += 1) {
