Nothing but events with ids is written into a stream that has begun

After a stream had broken off, callers could find the text of the next upstream's error in it, or the stream ended as complete, if that response was a success of another content type, had another success status, or was read as events without ids. Such a response is now a failed attempt, which is retried or ends the stream as broken; comments still pass.

--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -7,6 +7,8 @@
 import type ActiveRequest from './ActiveRequest';
 
 const MIN_SUCCESS_STATUS = 200;
+/** Status of a response whose events can follow those of an earlier response. */
+const CONTINUATION_STATUS = 200;
 const MIN_REDIRECT_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
 const EVENT_STREAM_TYPE = 'text/event-stream';
@@ -39,6 +41,7 @@
   request: ActiveRequest,
   silenceMs: number,
 ): Promise<AttemptOutcome> {
+  const isContinuation = request.isHeadWritten;
   return new Promise((resolve) => {
     let splitter: ReturnType<typeof createEventSplitter> | undefined;
     let bodyChunks: Buffer[] = [];
@@ -86,6 +89,12 @@
     };
     const forwardEvents = (chunk: Buffer) => {
       splitter?.splitChunk(chunk).forEach((event) => {
+        if (isContinuation && event.id === undefined && !isComment(event.bytes)) {
+          abortWith({ kind: 'broken', reason: 'event without an id' });
+        }
+        if (isEnded) {
+          return;
+        }
         const isDuplicate =
           event.id !== undefined &&
           request.lastEventId !== undefined &&
@@ -158,7 +167,9 @@
         head = responseHead;
         host.onHead(host.now(), responseHead);
         Object.assign(request, { framing: getResponseFraming(headers) });
-        isStreaming = request.route.kind === 'stream' && isSuccess(status);
+        const canContinue =
+          !isContinuation || (status === CONTINUATION_STATUS && isEventStream(headers));
+        isStreaming = request.route.kind === 'stream' && isSuccess(status) && canContinue;
         splitter = isStreaming && isEventStream(headers) ? createEventSplitter() : undefined;
         restartSilenceTimer();
       },
@@ -222,6 +233,11 @@
   return contentType === undefined || String(contentType).startsWith(EVENT_STREAM_TYPE);
 }
 
+/** Returns whether an event consists of a comment, such as one that keeps its connection open. */
+function isComment(bytes: Buffer): boolean {
+  return /^[\r\n]*:/.test(bytes.toString('latin1'));
+}
+
 function isSuccess(status: number): boolean {
   return status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
 }
--- a/test/routed/serve.test.ts
+++ b/test/routed/serve.test.ts
@@ -12,7 +12,7 @@
 
 /** How the fake upstream handles a request. */
 type UpstreamBehavior =
-  | { kind: 'response'; status: number; body: string }
+  | { kind: 'response'; status: number; body: string; contentType?: string }
   | { kind: 'notRun'; status: number }
   | { kind: 'refusalWithoutId'; isReused: boolean }
   | { kind: 'refuseConnection' }
@@ -135,6 +135,35 @@
     expect(fixture.response.isEnded).to.equal(true);
   });
 
+  (
+    [
+      { kind: 'response', status: 500, body: 'failed' },
+      { kind: 'response', status: 404, body: '' },
+      { kind: 'response', status: 200, body: 'failed', contentType: 'text/plain' },
+      { kind: 'response', status: 200, body: '', contentType: 'application/json' },
+      { kind: 'response', status: 204, body: '' },
+      {
+        kind: 'response',
+        status: 200,
+        body: 'HTTP/1.1 500 Failed\r\nRequest-Id: q1\r\n\r\nfailed',
+      },
+      { kind: 'response', status: 200, body: 'data: failed\n\n', contentType: 'text/event-stream' },
+    ] satisfies UpstreamBehavior[]
+  ).forEach((failure) => {
+    it(`writes nothing of ${JSON.stringify(failure)} into a stream that has begun`, async () => {
+      const fixture = createTestRequest({ kind: 'stream', isResumable: true, attempts: 2 }, [
+        { kind: 'events', from: 1, to: 3, isBroken: true },
+        failure,
+      ]);
+      await fixture.run();
+      expect(fixture.response.body).to.equal(
+        'id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n',
+      );
+      expect(fixture.response.isEnded).to.equal(false);
+      expect(fixture.response.isAborted).to.equal(true);
+    });
+  });
+
   it('aborts a broken stream that is not resumable instead of ending it', async () => {
     const fixture = createTestRequest({ kind: 'stream', attempts: 2 }, [
       { kind: 'events', from: 1, to: 3, isBroken: true },
@@ -272,6 +301,7 @@
         handler.onHead(behavior.status, {
           id: 'q1',
           ran: behavior.kind === 'notRun' ? 'no' : 'yes',
+          'content-type': 'contentType' in behavior ? behavior.contentType : undefined,
         });
         handler.onData(Buffer.from(behavior.kind === 'response' ? behavior.body : ''));
         handler.onEnd();
