--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -120,11 +120,18 @@
    * Returns the upstreams at which a stream that may be resumed begins: those whose software version all
    * VMs know, if there are any.
    */
-  function preferKnown(now: number, request: ActiveRequest, usable: Upstream[]): Upstream[] {
+  function preferKnown(
+    now: number,
+    request: ActiveRequest,
+    usable: Upstream[],
+    excludedUpstreams: ReadonlySet<string>,
+  ): Upstream[] {
     if (!request.route.isResumable || request.softwareVersion !== undefined) {
       return usable;
     }
-    const known = usable.filter((upstream) => host.isVersionKnownToAll(now, upstream));
+    const known = usable.filter(
+      (upstream) => !excludedUpstreams.has(upstream.id) && host.isVersionKnownToAll(now, upstream),
+    );
     return known.length > 0 ? known : usable;
   }
 
@@ -135,7 +142,7 @@
     const now = host.now();
     const candidates = getCandidates(
       now,
-      preferKnown(now, request, getUsable(request)),
+      preferKnown(now, request, getUsable(request), excludedUpstreams),
       excludedUpstreams,
     );
     const chosen = chooseUpstream(candidates, options.dataCentre);
@@ -162,6 +169,7 @@
       now,
       request,
       ready.filter(({ id }) => engineStates.isResident(id, key, version) && !isExcluded(id)),
+      excludedUpstreams,
     );
     const candidates = getCandidates(now, holders, excludedUpstreams);
     // The permits of limited engines are left to requests whose adapter no other engine holds.
