--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -1,4 +1,4 @@
-import { match, P } from 'ts-pattern';
+import { match } from 'ts-pattern';
 import createEngineStates from '../engines/createEngineStates';
 import createOwnedEngines from '../engines/createOwnedEngines';
 import createPendingLoads from '../engines/createPendingLoads';
@@ -38,6 +38,7 @@
 import getUsageSource from '../usage/getUsageSource';
 import createUsagePublisher from '../usage/createUsagePublisher';
 import createPlacement from './createPlacement';
+import isOutdated from './isOutdated';
 import type RoutedEntryHost from './RoutedEntryHost';
 import type RoutedEntryOptions from './RoutedEntryOptions';
 
@@ -85,7 +86,7 @@
     broadcast: (batch) => broadcaster.broadcast({ kind: 'news', ...batch }),
     requestSnapshot: () => broadcaster.broadcastNearby({ kind: 'newsWanted' }),
     requestChanges,
-    isOutdated,
+    isOutdated: (change, known) => isOutdated(host.decodeChange(change), host.decodeChange(known)),
     onChange: applyChange,
   });
   const members = createMembers(
@@ -349,32 +350,6 @@
     return versions.get(key) ?? 0;
   }
 
-  /**
-   * Returns whether a change takes back what an operator or an upstream had confirmed: after a restore
-   * of the key-value service, until it is written again.
-   */
-  function isOutdated(change: Change, known: Change): boolean {
-    return match([host.decodeChange(known), host.decodeChange(change)])
-      .with([{ kind: 'manifest' }, { kind: 'manifest' }], ([before, after]) => {
-        const knownVersion = before.manifest?.version;
-        return knownVersion !== undefined && !((after.manifest?.version ?? -1) >= knownVersion);
-      })
-      .with(
-        [{ kind: 'version' }, { kind: 'version' }],
-        ([before, after]) => after.version < before.version,
-      )
-      .with([{ kind: 'upstream' }, { kind: 'upstream' }], ([{ upstream: before }, after]) =>
-        before && after.upstream
-          ? after.upstream.startedAt < before.startedAt ||
-            (after.upstream.startedAt === before.startedAt &&
-              before.state === 'leaving' &&
-              after.upstream.state === 'ready')
-          : false,
-      )
-      .with([P.union({ kind: 'manifest' }, { kind: 'version' }), { kind: 'other' }], () => true)
-      .otherwise(() => false);
-  }
-
   function applyChange(now: number, change: Change, isForgotten: boolean): void {
     if (isForgotten) {
       streamOrigins.handleForgotten(change.key);
--- a/src/quarantine/createSuspects.ts
+++ b/src/quarantine/createSuspects.ts
@@ -94,7 +94,7 @@
     return culprits;
   }
 
-  /** Returns the traits that explain most; several if nothing tells them apart. */
+  /** Returns the traits that explain most; several if they do not differ in that. */
   function getCulprits(now: number): string[] {
     const candidates = [...suspects]
       .filter(([trait]) => !isSound(now, trait))
--- a/src/streams/createOriginPublisher.ts
+++ b/src/streams/createOriginPublisher.ts
@@ -33,7 +33,7 @@
 }
 
 /**
- * Tells all VMs where streams began, and records it in the key-value service for VMs that start later.
+ * Announces to all VMs where streams began, and records it in the key-value service for VMs that start later.
  * One VM of a data centre does so for the others, a few times a second, without holding up streams.
  */
 export default function createOriginPublisher(
--- /dev/null
+++ b/test/fleet/ADAPTERS_PER_ENGINE.ts
@@ -0,0 +1,3 @@
+const ADAPTERS_PER_ENGINE = 11;
+
+export default ADAPTERS_PER_ENGINE;
--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -5,8 +5,6 @@
 import type DecodedChange from '../../src/entry/DecodedChange';
 import type RoutedEntryHost from '../../src/entry/RoutedEntryHost';
 import type Change from '../../src/keyValue/Change';
-import type Manifest from '../../src/manifest/Manifest';
-import type Service from '../../src/manifest/Service';
 import compressFrame from '../../src/mesh/compressFrame';
 import createFrameReader from '../../src/mesh/createFrameReader';
 import encodeFrame from '../../src/mesh/encodeFrame';
@@ -15,9 +13,10 @@
 import type Upstream from '../../src/upstream/Upstream';
 import createKeyValueStore from '../../standins/platform/createKeyValueStore';
 import createVirtualClock from '../scenario/createVirtualClock';
+import createManifest from './createManifest';
 import createRequest from './createRequest';
+import createTestEngine from './createTestEngine';
 import createTestDesks from './createTestDesks';
-import MODEL from './MODEL';
 
 const CALL_MS = 4;
 const LINK_DELAY_MS = 1;
@@ -25,7 +24,6 @@
 const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 const MANIFEST_KEY = 'manifest';
 const UPSTREAM_PREFIX = 'upstreams/';
-const ADAPTERS_PER_ENGINE = 11;
 const STREAM_MS = 1500;
 
 /** How a call ended; `retryAfterMs` is 0 unless the response names a time to return. */
@@ -57,7 +55,9 @@
   const clock = createVirtualClock();
   const random = createRandom(1);
   const dataCentres = options.dataCentres ?? ['x', 'y', 'z'];
-  const engines = Array.from({ length: options.engines ?? 0 }, (_, index) => createEngine(index));
+  const engines = Array.from({ length: options.engines ?? 0 }, (_, index) =>
+    createTestEngine(index),
+  );
   const store = createKeyValueStore();
   const desks = createTestDesks(
     {
@@ -388,83 +388,6 @@
   return { kind: 'other' };
 }
 
-function createManifest(version: number): Manifest {
-  return {
-    version,
-    routes: [
-      {
-        name: 'chat',
-        host: 'fleet.example',
-        pathPrefix: '/chat/',
-        kind: 'stream',
-        timeoutMs: 10_000,
-        latencyObjectiveMs: 600,
-        pauseObjectiveMs: 300,
-        attempts: 1,
-        urgency: 1,
-        isResumable: false,
-        targets: [{ service: 'models', weight: 1 }],
-      },
-      {
-        name: 'call',
-        host: 'fleet.example',
-        pathPrefix: '/call/',
-        kind: 'nonIdempotent',
-        timeoutMs: 10_000,
-        latencyObjectiveMs: 400,
-        pauseObjectiveMs: undefined,
-        attempts: 1,
-        urgency: 1,
-        isResumable: false,
-        targets: [{ service: 'desk', weight: 1 }],
-      },
-      {
-        name: 'talk',
-        host: 'fleet.example',
-        pathPrefix: '/talk/',
-        kind: 'stream',
-        timeoutMs: 15_000,
-        latencyObjectiveMs: 1000,
-        pauseObjectiveMs: 300,
-        attempts: 2,
-        urgency: 1,
-        isResumable: true,
-        targets: [{ service: 'desk', weight: 1 }],
-      },
-      {
-        name: 'look',
-        host: 'fleet.example',
-        pathPrefix: '/look/',
-        kind: 'idempotent',
-        timeoutMs: 4000,
-        latencyObjectiveMs: 400,
-        pauseObjectiveMs: undefined,
-        attempts: 2,
-        urgency: 1,
-        isResumable: false,
-        targets: [{ service: 'desk', weight: 1 }],
-      },
-    ],
-    services: new Map<string, Service>([
-      ['desk', { name: 'desk', maxConnections: 500, engine: undefined }],
-      [
-        'models',
-        {
-          name: 'models',
-          maxConnections: 500,
-          engine: {
-            batchSlots: 16,
-            adapterSlots: ADAPTERS_PER_ENGINE,
-            memoryMb: 36_000,
-            models: [{ name: MODEL, sizeMb: 34_300, loadMs: 1000, adapterSizeMb: 40 }],
-          },
-        },
-      ],
-    ]),
-    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-  };
-}
-
 function readFrame(frame: Buffer): unknown {
   let value: unknown;
   createFrameReader(MAX_FRAME_BYTES, (payload, isCompressed) => {
@@ -473,29 +396,6 @@
   return value;
 }
 
-function createEngine(index: number): Upstream {
-  return {
-    id: `i-${(0x6ea83171b + index * 0x1f3d5).toString(16)}`,
-    startedAt: 1,
-    service: 'models',
-    address: `10.0.1.${index + 1}:8761`,
-    dataCentre: 'x',
-    state: 'ready',
-    slots: 16,
-    softwareVersion: undefined,
-    models: [
-      {
-        name: MODEL,
-        version: 1,
-        adapters: Array.from({ length: ADAPTERS_PER_ENGINE }, (_, place) => ({
-          name: `a${1000 + index * ADAPTERS_PER_ENGINE + place}`,
-          version: 1,
-        })),
-      },
-    ],
-  };
-}
-
 const responseWriter = {
   writeHead: () => {},
   write: () => true,
