Relay of the trials: bytes keep their order, and nothing follows lost ones

The trace: all three ran through the relay of engine-1 as its fault 'slow' ended; bytes that followed overtook the delayed ones, and the VM dropped the event that arrived behind its successor. A TCP connection does neither that nor go on after lost bytes, which the relay did when 'silent' or 'noAnswers' ended.

--- a/standins/createRelay.ts
+++ b/standins/createRelay.ts
@@ -71,19 +71,33 @@
 
   /** Forwards bytes and the end of a connection in their order. */
   function forward(from: Socket, to: Socket, isBlocked: () => boolean): void {
+    /** Number of delayed actions; what follows them waits as long. */
+    let delayedCount = 0;
     const delay = (action: () => void) => {
-      if (mode === 'slow') {
-        setTimeout(() => !to.destroyed && action(), SLOW_DELAY_MS);
-      } else {
+      if (mode !== 'slow' && delayedCount === 0) {
         action();
+        return;
       }
+      delayedCount += 1;
+      setTimeout(() => {
+        delayedCount -= 1;
+        if (!to.destroyed) {
+          action();
+        }
+      }, SLOW_DELAY_MS);
     };
+    /** After bytes were lost, nothing that follows them can arrive on a connection. */
+    let hasLostBytes = false;
     from.on('data', (chunk) => {
-      if (!isBlocked()) {
+      hasLostBytes ||= isBlocked();
+      if (!hasLostBytes) {
         delay(() => to.write(chunk));
       }
     });
     from.on('end', () => {
+      if (hasLostBytes) {
+        return;
+      }
       // Node.js reports a reset right behind the last bytes as an end without a peer address.
       const isReset = from.remoteAddress === undefined;
       delay(() => (isReset ? to.resetAndDestroy() : to.end()));
