--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -51,7 +51,8 @@
 
   it('decodes a server entry with the models that it holds', () => {
     const Models = [{ Name: 'm', Version: 1, Adapters: ['a1@2'] }];
-    expect(decodeUpstream('i', JSON.stringify({ ...SERVER, Models }))).to.deep.equal({
+    const server = { ...SERVER, Version: 'v1.2', Models };
+    expect(decodeUpstream('i', JSON.stringify(server))).to.deep.equal({
       id: 'i',
       startedAt: 5,
       service: 's',
@@ -59,10 +60,18 @@
       dataCentre: 'z',
       state: 'ready',
       slots: 4,
+      softwareVersion: 'v1.2',
       models: [{ name: 'm', version: 1, adapters: [{ name: 'a1', version: 2 }] }],
     });
   });
 
+  it('decodes a server entry whose software version is missing, a number or of another type', () => {
+    const decode = (Version: unknown) =>
+      decodeUpstream('i', JSON.stringify({ ...SERVER, Version }))?.softwareVersion;
+    expect([undefined, 2, 'v2'].map(decode)).to.deep.equal([undefined, '2', 'v2']);
+    expect(decodeUpstream('i', JSON.stringify({ ...SERVER, Version: {} }))?.slots).to.equal(4);
+  });
+
   it('returns undefined for a server entry with a missing or invalid field', () => {
     const invalidServers = [
       ...Object.keys(SERVER)
