Decode and log what responses say of an upstream's readiness

Server-Leaving and Retry-After of a 503 were read nowhere, and forwarded to callers like any header. No decision uses them yet: the logs tell apart a VM that was told from one that was not.

--- a/src/cli/runExplain.ts
+++ b/src/cli/runExplain.ts
@@ -24,7 +24,13 @@
  */
 const RELATED_WINDOW_MS = 20_000;
 /** Events of an upstream that affect every request on it. */
-const UPSTREAM_EVENTS = new Set(['upstreamSuspended', 'upstreamGone', 'upstreamSeen']);
+const UPSTREAM_EVENTS = new Set([
+  'upstreamSuspended',
+  'upstreamGone',
+  'upstreamSeen',
+  'upstreamStatedLeaving',
+  'upstreamRested',
+]);
 
 /**
  * Runs `baobablink explain`: prints the logged events of a request, and those of its adapters and
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -61,6 +61,21 @@
     'The limit that an upstream states for requests of all VMs has changed.',
   ),
   limitUnreadable: e(236, 'warn', 'A response states a limit that could not be decoded.'),
+  upstreamStatedLeaving: e(
+    237,
+    'info',
+    'An upstream stated in a response, or another VM announced, that it leaves.',
+  ),
+  upstreamRested: e(
+    238,
+    'info',
+    'An upstream turned a request away and wants no more from this VM for some time.',
+  ),
+  restUnreadable: e(
+    239,
+    'warn',
+    'A response states a time to stay away that could not be decoded.',
+  ),
   traitBlocked: e(250, 'warn', 'Requests with a trait that crashes upstreams are refused.'),
   traitUnblocked: e(251, 'info', 'Requests with a trait are no longer refused.'),
   blockUnreadable: e(252, 'warn', 'The record of a block could not be decoded.'),
--- a/src/gateway/ResponseHead.ts
+++ b/src/gateway/ResponseHead.ts
@@ -1,4 +1,5 @@
 import type StatedLimit from './StatedLimit';
+import type StatedRest from './StatedRest';
 
 /** Status and headers of an upstream's response. */
 interface ResponseHead {
@@ -10,6 +11,9 @@
   /** Whether the upstream states that it did not run the request. */
   isNotRun: boolean;
   limit: StatedLimit;
+  /** Whether the upstream states that it leaves. */
+  isLeaving: boolean;
+  rest: StatedRest;
 }
 
 export default ResponseHead;
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -1,3 +1,4 @@
+import { match } from 'ts-pattern';
 import getAdapterKey from '../engines/getAdapterKey';
 import type Log from '../events/Log';
 import type Service from '../manifest/Service';
@@ -164,7 +165,10 @@
             host.recordStreamBegin(now, request.callerRequest.id, upstream);
           }
         },
-        onHead: (now, head) => parts.rateLimiting.observe(now, upstream, head, sentAt),
+        onHead: (now, head) => {
+          parts.rateLimiting.observe(now, upstream, head, sentAt);
+          logReadiness(upstream, head);
+        },
         onFirstByte: (now, head) => {
           beganAt ??= now;
           if (isEngine) {
@@ -213,6 +217,20 @@
     return outcome;
   };
 
+  /** Logs what the head of a response states about its upstream's readiness. */
+  function logReadiness({ id, state }: Upstream, { isLeaving, rest }: ResponseHead): void {
+    if (isLeaving) {
+      host.log('upstreamStatedLeaving', { upstream: id, registered: state });
+    }
+    match(rest)
+      .with({ kind: 'none' }, () => {})
+      .with({ kind: 'stated' }, ({ ms }) => host.log('upstreamRested', { upstream: id, ms }))
+      .with({ kind: 'unreadable' }, ({ text }) =>
+        host.log('restUnreadable', { upstream: id, text }),
+      )
+      .exhaustive();
+  }
+
   /** Waits for a prefill permission of the engine, as long as the request can still be in time. */
   async function waitForPrefill(
     request: ActiveRequest,
--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -128,11 +128,16 @@
           status,
           headers: [],
           id: undefined,
-          isNotRun: status === 421,
+          isNotRun: status === 421 || status === 503,
           limit:
             headers.limit === undefined
               ? { kind: 'none' }
               : { kind: 'stated', perSecond: Number(headers.limit) },
+          isLeaving: headers.leaving === '1',
+          rest:
+            headers.rest === undefined
+              ? { kind: 'none' }
+              : { kind: 'stated', ms: Number(headers.rest) },
         }),
         send: (to, message) => isRunning() && send(address, to, message),
         getQueuedBytes: () => new Map(),
--- a/test/platform/endlessResponse.test.ts
+++ b/test/platform/endlessResponse.test.ts
@@ -146,6 +146,8 @@
         id: undefined,
         isNotRun: false,
         limit: { kind: 'none' },
+        isLeaving: false,
+        rest: { kind: 'none' },
       }),
       onHead: () => {},
       onFirstByte: () => {},
--- a/test/routed/createTestRequest.ts
+++ b/test/routed/createTestRequest.ts
@@ -183,6 +183,8 @@
                     id: headers.id as string,
                     isNotRun: headers.ran === 'no',
                     limit: { kind: 'none' },
+                    isLeaving: false,
+                    rest: { kind: 'none' },
                   }),
                   onHead: () => {},
                   onFirstByte: () => {},
