--- a/test/fleet/createTestDesks.ts
+++ b/test/fleet/createTestDesks.ts
@@ -42,6 +42,11 @@
   const desks = Array.from({ length: count }, (_, index) => createDesk(index));
   /** Limits that desks state, in requests a second. */
   const limits = new Map<string, number>();
+  /** Desks that state in their responses that they leave. */
+  const leaving = new Set<Upstream>();
+  /** Time until which a desk turns requests away, and the rest that it states, in milliseconds. */
+  const rests = new Map<Upstream, { until: number; statedMs: number }>();
+  const turnedAway: { at: number; vm: string; upstream: string }[] = [];
   const arrivals: { at: number; vm: string; upstream: string; path: string }[] = [];
   const crashes: { at: number; upstream: string; path: string | undefined }[] = [];
   const calls = new Map<Upstream, Set<Call>>();
@@ -70,6 +75,14 @@
         return;
       }
       arrivals.push({ at: host.now(), vm, upstream: desk.id, path });
+      const notices: Record<string, string> = leaving.has(desk) ? { leaving: '1' } : {};
+      const rest = rests.get(desk);
+      if (rest && host.now() < rest.until) {
+        turnedAway.push({ at: host.now(), vm, upstream: desk.id });
+        handler.onHead(503, { ...notices, rest: String(rest.statedMs) });
+        handler.onEnd();
+        return;
+      }
       running.add(call);
       if (host.isCrashing(path)) {
         setTimer(CRASH_MS, () => crash(desk.id, path));
@@ -77,7 +90,7 @@
       }
       if (path.startsWith('/talk/')) {
         const { softwareVersion } = desk;
-        handler.onHead(200, { 'content-type': 'text/event-stream' });
+        handler.onHead(200, { ...notices, 'content-type': 'text/event-stream' });
         const sendEvent = (event: number) => {
           if (!request.isSenderRunning()) {
             end();
@@ -97,7 +110,8 @@
       setTimer(SERVICE_MS, () => {
         end();
         const limit = limits.get(desk.id);
-        handler.onHead(200, limit === undefined ? {} : { limit: String(limit) });
+        const stated = leaving.has(desk) ? { leaving: '1' } : notices;
+        handler.onHead(200, limit === undefined ? stated : { ...stated, limit: String(limit) });
         handler.onData(Buffer.from('done'));
         handler.onEnd();
       });
@@ -157,10 +171,31 @@
   function restart(id: string): void {
     const desk = desks.find((candidate) => candidate.id === id)!;
     desk.startedAt += 1;
+    desk.state = 'ready';
     limits.delete(id);
+    leaving.delete(desk);
+    rests.delete(desk);
     host.register(id, desk);
   }
 
+  /** Lets desks state in all responses that they leave; their registrations do not change. */
+  function leave(ids: readonly string[]): void {
+    desks.filter(({ id }) => ids.includes(id)).forEach((desk) => leaving.add(desk));
+  }
+
+  /** Lets desks turn requests away for `forMs`, each time stating a rest of `statedMs`. */
+  function turnAway(ids: readonly string[], statedMs: number, forMs = statedMs): void {
+    const until = host.now() + forMs;
+    desks
+      .filter(({ id }) => ids.includes(id))
+      .forEach((desk) => rests.set(desk, { until, statedMs }));
+  }
+
+  /** Registers a desk anew with a state, as its record of an earlier time did. */
+  function register(id: string, state: Upstream['state']): void {
+    host.register(id, { ...desks.find((desk) => desk.id === id)!, state });
+  }
+
   return {
     tryGet,
     run,
@@ -176,7 +211,11 @@
     getIds: () => desks.map(({ id }) => id),
     setLimit: (id: string, perSecond: number | undefined) =>
       perSecond === undefined ? limits.delete(id) : limits.set(id, perSecond),
+    leave,
+    turnAway,
+    register,
     arrivals,
+    turnedAway,
     crashes,
   };
 }
--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -17,8 +17,9 @@
 import createRequest from './createRequest';
 import createTestEngine from './createTestEngine';
 import createTestDesks from './createTestDesks';
+import createTestKeyValue from './createTestKeyValue';
+import type KeyValueFault from './KeyValueFault';
 
-const CALL_MS = 4;
 const LINK_DELAY_MS = 1;
 const LEASE_CHECK_MS = 100;
 const MAX_FRAME_BYTES = 4 * 1024 * 1024;
@@ -34,8 +35,6 @@
   ms: number;
 }
 
-type Fault = 'none' | 'refused' | 'silent';
-
 /**
  * Creates entry VMs with all their controllers on fake links and a fake key-value service, which can
  * refuse single VMs. Time is virtual. Links may lose messages and have a limited bandwidth.
@@ -68,7 +67,7 @@
     options.desks ?? 0,
   );
   const addresses = Array.from({ length: options.vms }, (_, index) => `10.0.0.${index + 1}:7380`);
-  const faults = new Map<string, Fault>();
+  const faults = new Map<string, KeyValueFault>();
   const lostLinks = new Set<string>();
   let lastFrame: { message: Message; frame: Buffer } | undefined;
   const linkFreeAt = new Map<string, number>();
@@ -93,7 +92,10 @@
       {
         now: clock.now,
         setTimer: clock.setTimer,
-        keyValue: createKeyValue(address),
+        keyValue: createTestKeyValue(
+          { ...clock, getFault: () => faults.get(address) ?? 'none' },
+          { store, writtenKeys },
+        ),
         engines: {
           sendCommand: async () => ({ ok: false, error: { kind: 'noAnswer', reason: 'none' } }),
           getReport: async ({ id }) => {
@@ -247,72 +249,6 @@
     return true;
   }
 
-  function createKeyValue(address: string): RoutedEntryHost['keyValue'] {
-    const call = async <Value>(handle: () => Value) => {
-      const fault = faults.get(address) ?? 'none';
-      await wait(fault === 'silent' ? 1000 : CALL_MS);
-      if (fault !== 'none') {
-        return { ok: false as const, error: { kind: 'notDone' as const, reason: fault } };
-      }
-      return { ok: true as const, value: handle() };
-    };
-    return {
-      list: () =>
-        call(() => ({
-          revision: store.getRevision(),
-          more: false,
-          changes: store
-            .getEntries('')
-            .map(({ key, revision, value }) => ({ key, revision, value })),
-        })),
-      follow: async ({ afterRevision, waitMs }) => {
-        const until = clock.now() + waitMs;
-        while (store.tryGetChanges('', afterRevision)?.length === 0 && clock.now() < until) {
-          await Promise.race([
-            wait(until - clock.now()),
-            new Promise<void>((resolve) => {
-              store.onNextChange(resolve);
-            }),
-          ]);
-        }
-        const result = await call(() => store.tryGetChanges('', afterRevision));
-        if (!result.ok || !result.value) {
-          return result.ok ? { ok: false, error: { kind: 'compacted' } } : result;
-        }
-        const changes = result.value.map(({ key, revision, entry }) => ({
-          key,
-          revision,
-          value: entry?.value,
-        }));
-        return { ok: true, value: { revision: store.getRevision(), changes } };
-      },
-      transact: ({ compare, writes }) =>
-        call(() => {
-          writtenKeys.push(...writes.map(({ key }) => key));
-          const revision = store.writeIf(
-            compare.map(({ key, modRevision }) => ({ key, revision: modRevision })),
-            {
-              puts: writes
-                .filter((write) => write.kind === 'put')
-                .map(({ key, value, lease }) => ({ key, value, lease: Number(lease ?? 0) })),
-              removes: writes.filter((write) => write.kind === 'delete').map(({ key }) => key),
-            },
-          );
-          return { succeeded: revision !== undefined, revision: revision ?? 0, read: [] };
-        }),
-      grantLease: (ttlSeconds) =>
-        call(() => String(store.grantLease(clock.now(), ttlSeconds * 1000))),
-      keepLeaseAlive: (lease) => call(() => (store.renewLease(clock.now(), Number(lease)) ? 1 : 0)),
-      revokeLease: (lease) => call(() => store.revokeLease(Number(lease))),
-    };
-  }
-
-  function wait(delayMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      clock.setTimer(delayMs, resolve);
-    });
-  }
-
   function expireLeases(): void {
     store.expire(clock.now());
     clock.setTimer(LEASE_CHECK_MS, expireLeases);
@@ -363,7 +299,7 @@
     setManifest,
     getDelays,
     sendRequests,
-    setFault: (address: string, fault: Fault) => faults.set(address, fault),
+    setFault: (address: string, fault: KeyValueFault) => faults.set(address, fault),
     /** Makes the link between two VMs lose every message in one direction. */
     setLost: (from: string, to: string, isLost: boolean) =>
       isLost ? lostLinks.add(`${from}>${to}`) : lostLinks.delete(`${from}>${to}`),
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -135,6 +135,30 @@
       expect(decode(text).limit).to.deep.equal({ kind: 'unreadable', text }),
     );
   });
+
+  it('decodes the time to stay away of a refusal, however odd, and whether an upstream leaves', () => {
+    const decodeRest = (text: string) => decodeResponseHead(503, { 'retry-after': text }).rest;
+    expect(decodeRest('1.5')).to.deep.equal({ kind: 'stated', ms: 1500 });
+    expect(decodeRest(' 0 ')).to.deep.equal({ kind: 'stated', ms: 0 });
+    expect(decodeRest('1e9')).to.deep.equal({ kind: 'stated', ms: 1e12 });
+    ['-3', '', 'soon', 'Wed, 21 Oct 2026 07:28:00 GMT', '1e999', '2, 3'].forEach((text) =>
+      expect(decodeRest(text)).to.deep.equal({ kind: 'unreadable', text }),
+    );
+    expect(decodeResponseHead(503, {}).rest).to.deep.equal({ kind: 'none' });
+    expect(decodeResponseHead(429, { 'retry-after': '3' }).rest).to.deep.equal({ kind: 'none' });
+    const isLeaving = (value: string | string[] | undefined) =>
+      decodeResponseHead(421, { 'server-leaving': value }).isLeaving;
+    expect([undefined, '0', '1', ' 1', ['1', '1']].map(isLeaving)).to.deep.equal([
+      false,
+      false,
+      true,
+      true,
+      true,
+    ]);
+    expect(
+      decodeResponseHead(503, { 'server-leaving': '1', 'retry-after': '3', other: 'x' }).headers,
+    ).to.deep.equal([['other', 'x']]);
+  });
 });
 
 describe('decoding and encoding of a caller’s request', () => {
