One account of an upstream's readiness, without a change of behaviour

Whether an upstream may get a request was asked in five places of four files, each with its own selection of the registration's state, stated limits, suspensions and the owner's view.

--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -8,6 +8,7 @@
 import type Placement from '../gateway/Placement';
 import type Refusal from '../gateway/Refusal';
 import type Manifest from '../manifest/Manifest';
+import type Readiness from '../readiness/Readiness';
 import type RateLimiting from '../rateLimits/RateLimiting';
 import type Result from '../shared/Result';
 import type Clock from '../shared/Clock';
@@ -53,13 +54,14 @@
     upstreams: Upstreams;
     usage: Usage;
     health: UpstreamHealth;
+    readiness: Readiness;
     engineStates: EngineStates;
-    rateLimiting: Pick<RateLimiting, 'isLimited' | 'isClosed' | 'getRetryAfterMs'>;
+    rateLimiting: Pick<RateLimiting, 'isLimited' | 'getRetryAfterMs'>;
     getPendingLoads(): PendingLoads;
   },
   options: { dataCentre: string },
 ) {
-  const { upstreams, usage, health, engineStates, rateLimiting } = parts;
+  const { upstreams, usage, health, readiness, engineStates, rateLimiting } = parts;
   let copyRequestedAt = -Infinity;
 
   /**
@@ -77,20 +79,16 @@
       return placeAtAnyUpstream(request, excludedUpstreams);
     }
     const key = getAdapterKey(model, adapter);
+    const isUnreachable = (upstream: Upstream) =>
+      readiness.has(host.now(), upstream, 'unreachable');
     if (isImmediate) {
       return (
-        tryPlaceAtHolder(request, key, excludedUpstreams, engineStates.isUnreachable) ??
-        refuse(request, 'busy')
+        tryPlaceAtHolder(request, key, excludedUpstreams, isUnreachable) ?? refuse(request, 'busy')
       );
     }
     let isLoaded = true;
     while (isLoaded) {
-      const placement = tryPlaceAtHolder(
-        request,
-        key,
-        excludedUpstreams,
-        engineStates.isUnreachable,
-      );
+      const placement = tryPlaceAtHolder(request, key, excludedUpstreams, isUnreachable);
       if (placement) {
         return placement;
       }
@@ -101,19 +99,25 @@
     }
     // An engine that only its owner can't reach may still serve: this VM's own requests to it have
     // not failed.
-    const isUnusable = (id: string) =>
-      engineStates.isUnreachable(id) && health.isSuspended(host.now(), id);
+    const isUnusable = (upstream: Upstream) =>
+      isUnreachable(upstream) && readiness.has(host.now(), upstream, 'suspended');
     const lastPlacement = tryPlaceAtHolder(request, key, excludedUpstreams, isUnusable);
     return lastPlacement ?? refuse(request, adapter === undefined ? 'noUpstream' : 'noAdapter');
   }
 
   /** Returns the upstreams that can serve a request: for a stream that has begun, those of its version. */
   function getUsable(request: ActiveRequest): Upstream[] {
-    const ready = upstreams.getReady(request.service);
-    const { softwareVersion } = request;
-    return softwareVersion === undefined
-      ? ready
-      : ready.filter((upstream) => getSoftwareVersion(upstream) === softwareVersion);
+    const now = host.now();
+    const { service, softwareVersion } = request;
+    return upstreams
+      .getAll()
+      .filter(
+        (upstream) => upstream.service === service && !readiness.has(now, upstream, 'leaving'),
+      )
+      .filter(
+        (upstream) =>
+          softwareVersion === undefined || getSoftwareVersion(upstream) === softwareVersion,
+      );
   }
 
   /**
@@ -160,7 +164,7 @@
     request: ActiveRequest,
     key: string,
     excludedUpstreams: ReadonlySet<string>,
-    isExcluded: (engine: string) => boolean,
+    isExcluded: (engine: Upstream) => boolean,
   ): Result<Placement, Refusal> | undefined {
     const now = host.now();
     const version = host.getVersion(key);
@@ -168,7 +172,9 @@
     const holders = preferKnown(
       now,
       request,
-      ready.filter(({ id }) => engineStates.isResident(id, key, version) && !isExcluded(id)),
+      ready.filter(
+        (upstream) => engineStates.isResident(upstream.id, key, version) && !isExcluded(upstream),
+      ),
       excludedUpstreams,
     );
     const candidates = getCandidates(now, holders, excludedUpstreams);
@@ -262,16 +268,16 @@
     const ids = ready.map(({ id }) => id);
     return ready
       .filter(({ id }) => !excludedUpstreams.has(id))
-      .filter((upstream) => !rateLimiting.isClosed(now, upstream))
-      .map(({ id, dataCentre, slots }) => ({
-        id,
-        dataCentre,
-        slots,
-        waitMs: host.getBacklogMs(id),
-        inFlight: usage.getInFlight(now, id),
-        failureRate: health.getFailureRate(now, id),
-        relativeLatency: health.getRelativeLatency(id, ids),
-        isSuspended: health.isSuspended(now, id) || engineStates.isUnreachable(id),
+      .filter((upstream) => readiness.isOpen(now, upstream))
+      .map((upstream) => ({
+        id: upstream.id,
+        dataCentre: upstream.dataCentre,
+        slots: upstream.slots,
+        waitMs: host.getBacklogMs(upstream.id),
+        inFlight: usage.getInFlight(now, upstream.id),
+        failureRate: health.getFailureRate(now, upstream.id),
+        relativeLatency: health.getRelativeLatency(upstream.id, ids),
+        isSuspended: readiness.isAvoided(now, upstream),
       }));
   }
 
@@ -286,7 +292,10 @@
     const { softwareVersion } = wanted;
     const usable = upstreams
       .getAll()
-      .filter((upstream) => upstream.state === 'ready' && !health.isSuspended(now, upstream.id))
+      .filter(
+        (upstream) =>
+          !readiness.has(now, upstream, 'leaving') && !readiness.has(now, upstream, 'suspended'),
+      )
       .filter(
         (upstream) =>
           softwareVersion === undefined || getSoftwareVersion(upstream) === softwareVersion,
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -31,6 +31,7 @@
 import createBroadcaster from '../broadcast/createBroadcaster';
 import createCrashDetector from '../quarantine/createCrashDetector';
 import createCrashGuard from '../quarantine/createCrashGuard';
+import createReadiness from '../readiness/createReadiness';
 import createRateLimiting from '../rateLimits/createRateLimiting';
 import createStreamOrigins from '../streams/createStreamOrigins';
 import getSoftwareVersion from '../streams/getSoftwareVersion';
@@ -155,6 +156,16 @@
       engines.close(id);
     },
   });
+  const readiness = createReadiness([
+    (_, { id }) =>
+      upstreams.tryGet(id)?.state === 'ready' ? undefined : { kind: 'leaving', isBinding: true },
+    (now, upstream) =>
+      rateLimiting.isClosed(now, upstream) ? { kind: 'limited', isBinding: true } : undefined,
+    (now, { id }) =>
+      health.isSuspended(now, id) ? { kind: 'suspended', isBinding: false } : undefined,
+    (_, { id }) =>
+      engineStates.isUnreachable(id) ? { kind: 'unreachable', isBinding: false } : undefined,
+  ]);
   const ownerships = createOwnerships(
     {
       ...host,
@@ -213,7 +224,15 @@
       getBacklogMs: prefill.getBacklogMs,
       isVersionKnownToAll: (now, upstream) => streamOrigins.isKnownToAll(now, upstream),
     },
-    { upstreams, usage, health, engineStates, rateLimiting, getPendingLoads: () => pendingLoads },
+    {
+      upstreams,
+      usage,
+      health,
+      readiness,
+      engineStates,
+      rateLimiting,
+      getPendingLoads: () => pendingLoads,
+    },
     options,
   );
   const pendingLoads = createPendingLoads({
@@ -238,11 +257,10 @@
         .getAll()
         .some(
           (upstream) =>
-            upstream.state === 'ready' &&
             (wanted.softwareVersion === undefined ||
               getSoftwareVersion(upstream) === wanted.softwareVersion) &&
             engineStates.isResident(upstream.id, wanted.key, wanted.version) &&
-            !rateLimiting.isClosed(now, upstream),
+            readiness.isOpen(now, upstream),
         ),
   });
   const prefillClient = createPrefillClient({
@@ -311,7 +329,7 @@
           }
         },
       },
-      { upstreams, usage, health, prefillClient, rateLimiting, crashDetector },
+      { readiness, usage, health, prefillClient, rateLimiting, crashDetector },
     ),
     tryGetBlock: crashGuard.tryGetBlock,
     tryGetOrigin: streamOrigins.tryGetOrigin,
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -4,6 +4,7 @@
 import type Service from '../manifest/Service';
 import type Clock from '../shared/Clock';
 import type createCrashDetector from '../quarantine/createCrashDetector';
+import type Readiness from '../readiness/Readiness';
 import type RateLimiting from '../rateLimits/RateLimiting';
 import type createPrefillClient from '../prefill/createPrefillClient';
 import getPrefillMs from '../prefill/getPrefillMs';
@@ -11,7 +12,6 @@
 import getSoftwareVersion from '../streams/getSoftwareVersion';
 import type Upstream from '../upstream/Upstream';
 import type UpstreamHealth from '../upstream/UpstreamHealth';
-import type Upstreams from '../upstream/Upstreams';
 import type Usage from '../usage/Usage';
 import type ResponseHead from './ResponseHead';
 import type AttemptOutcome from './AttemptOutcome';
@@ -69,7 +69,7 @@
 export default function createAttempts(
   host: AttemptsHost,
   parts: {
-    upstreams: Pick<Upstreams, 'tryGet'>;
+    readiness: Pick<Readiness, 'has'>;
     usage: Pick<Usage, 'beginRequest'>;
     health: UpstreamHealth;
     prefillClient: ReturnType<typeof createPrefillClient>;
@@ -128,7 +128,7 @@
       }
     }
     // The upstream may have started to leave while the request waited.
-    if (parts.upstreams.tryGet(upstream.id)?.state !== 'ready') {
+    if (parts.readiness.has(host.now(), upstream, 'leaving')) {
       return endUnsent({ kind: 'notSent', reason: 'upstreamLeft' });
     }
     if (host.tryGetBlock(host.now(), request.callerRequest)) {
--- /dev/null
+++ b/src/readiness/createReadiness.ts
@@ -0,0 +1,24 @@
+import type Upstream from '../upstream/Upstream';
+import type Obstacle from './Obstacle';
+import type ReadinessSource from './ReadinessSource';
+
+/**
+ * Creates this VM's account of whether upstreams are ready for new requests. It holds no state: each
+ * source keeps what it knows, and decides when that ends. All binding obstacles of an upstream must
+ * have ended before it gets a request.
+ */
+export default function createReadiness(sources: readonly ReadinessSource[]) {
+  const getObstacles = (now: number, upstream: Upstream): Obstacle[] =>
+    sources.flatMap((getObstacle) => getObstacle(now, upstream) ?? []);
+
+  return {
+    /** Returns whether a request may be sent to an upstream now. */
+    isOpen: (now: number, upstream: Upstream) =>
+      getObstacles(now, upstream).every(({ isBinding }) => !isBinding),
+    /** Returns whether an upstream gets requests only if no other one is left. */
+    isAvoided: (now: number, upstream: Upstream) =>
+      getObstacles(now, upstream).some(({ isBinding }) => !isBinding),
+    has: (now: number, upstream: Upstream, kind: Obstacle['kind']) =>
+      getObstacles(now, upstream).some((obstacle) => obstacle.kind === kind),
+  };
+}
--- a/src/upstream/createUpstreams.ts
+++ b/src/upstream/createUpstreams.ts
@@ -109,9 +109,5 @@
     update,
     tryGet: (id: string) => upstreams.get(id),
     getAll: () => [...upstreams.values()],
-    getReady: (service: string) =>
-      [...upstreams.values()].filter(
-        (upstream) => upstream.service === service && upstream.state === 'ready',
-      ),
   };
 }
