BUDGET: a refusal that names a time to stay away keeps this VM away

It is now a source of the account of readiness, for first attempts, retries, resumptions, commands and reads of reports, and ends at its time or with the incarnation. The VMs tell each other; an upstream that rests for another VM is less preferred. Callers are refused at once if all rest, with an honest and spread time.

--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -45,6 +45,8 @@
   getReport(): Promise<Result<EngineReport, EngineFault>>;
   /** Returns the fencing number of this VM's ownership, or undefined while it may not send. */
   tryGetFence(now: number): number | undefined;
+  /** Returns for how long the engine wants no requests of this VM, in milliseconds. */
+  getRestMs(now: number): number;
   getUse(now: number, key: string): { inFlight: number; lastUsedAt: number };
   getVersion(key: string): number;
   getModels(): BaseModel[];
@@ -95,7 +97,7 @@
   ): void {
     const now = host.now();
     const key = getAdapterKey(request.model, request.adapter);
-    if (!isReachable) {
+    if (!isReachable || host.getRestMs(now) > 0) {
       host.refuse({ ...request, key, since: now, requesters: new Set([requester]) }, 'failed');
       return;
     }
@@ -147,10 +149,15 @@
       refuseAll('failed');
       return RETRY_PAUSE_MS;
     }
+    const restMs = host.getRestMs(now);
+    if (restMs > 0) {
+      refuseAll('failed');
+      return restMs;
+    }
     if (isReachabilityUncertain) {
       isReachabilityUncertain = false;
       const report = await host.getReport();
-      setReachable(report.ok);
+      setReachable(report.ok || host.getRestMs(host.now()) > 0);
     }
     if (!isStateCurrent) {
       return readState(now);
@@ -188,7 +195,7 @@
       return nextReadAt - now;
     }
     const report = await host.getReport();
-    setReachable(report.ok);
+    setReachable(report.ok || host.getRestMs(host.now()) > 0);
     if (!report.ok) {
       nextReadAt = host.now() + UNREACHABLE_RETRY_MS;
       return UNREACHABLE_RETRY_MS;
--- a/src/engines/createOwnedEngines.ts
+++ b/src/engines/createOwnedEngines.ts
@@ -14,6 +14,14 @@
   tryGetFence(now: number, engine: string): number | undefined;
   getVersion(key: string): number;
   getEngineService(service: string): Service['engine'];
+  /** Returns for how long an engine wants no requests of this VM, in milliseconds. */
+  getRestMs(now: number, upstream: Upstream): number;
+  /** Records what the head of an engine's response states. */
+  observeHead(
+    upstream: Upstream,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void;
   /** Returns how many loads may be in progress on an engine at once. */
   getMaxConcurrentLoads(engine: string): number;
   /**
@@ -49,27 +57,35 @@
     const { startedAt } = upstream;
     const unanswered = unansweredLoads.get(id) ?? createUnansweredLoads();
     unansweredLoads.set(id, unanswered);
+    const onHead: Parameters<EngineControl['getReport']>[1] = (status, headers) =>
+      host.observeHead(upstream, status, headers);
     const getService = () => host.getEngineService(upstream.service);
     const engine = createEngine(
       {
         ...host,
         sendCommand: async (command, condition) => {
+          if (host.getRestMs(host.now(), upstream) > 0) {
+            return { ok: false, error: { kind: 'notSent', reason: 'resting' } };
+          }
           const { expectedSequence } = condition;
           const setAnswered =
             command.kind === 'load'
               ? unanswered.begin(host.now(), startedAt, expectedSequence)
               : () => {};
           const holder = options.address;
-          const result = await host.control.sendCommand(upstream, command, {
-            ...condition,
-            holder,
-          });
+          const result = await host.control.sendCommand(
+            upstream,
+            command,
+            { ...condition, holder },
+            onHead,
+          );
           if (result.ok || result.error.kind !== 'noAnswer') {
             setAnswered();
           }
           return result;
         },
-        getReport: () => host.control.getReport(upstream),
+        getReport: () => host.control.getReport(upstream, onHead),
+        getRestMs: (now) => host.getRestMs(now, upstream),
         tryGetFence: (now) => host.tryGetFence(now, id),
         getUse: (now, key) => parts.usage.getUse(now, id, key),
         getVersion: host.getVersion,
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -171,6 +171,7 @@
           { kind: 'blocks' },
           { kind: 'streamOrigins' },
           { kind: 'upstreamLimits' },
+          { kind: 'upstreamRested' },
           { kind: 'permitWanted' },
           { kind: 'permit' },
         ),
--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -4,6 +4,7 @@
 import isCopyWanted from '../engines/isCopyWanted';
 import type PendingLoads from '../engines/PendingLoads';
 import getRetryAfterMs from '../gateway/getRetryAfterMs';
+import getReturnMs from '../gateway/getReturnMs';
 import type ActiveRequest from '../gateway/ActiveRequest';
 import type Placement from '../gateway/Placement';
 import type Refusal from '../gateway/Refusal';
@@ -292,9 +293,10 @@
     const { softwareVersion } = wanted;
     const usable = upstreams
       .getAll()
-      .filter(
-        (upstream) =>
-          !readiness.has(now, upstream, 'leaving') && !readiness.has(now, upstream, 'suspended'),
+      .filter((upstream) =>
+        (['leaving', 'resting', 'suspended'] as const).every(
+          (kind) => !readiness.has(now, upstream, kind),
+        ),
       )
       .filter(
         (upstream) =>
@@ -363,11 +365,21 @@
     const ready = getUsable(request);
     const key = getAdapterKey(model ?? '', adapter);
     const isEngine = host.getManifest()?.services.get(request.service)?.engine !== undefined;
-    const limited = ready.filter(
-      (upstream) =>
-        rateLimiting.isLimited(upstream) &&
-        (!isEngine || engineStates.isResident(upstream.id, key, host.getVersion(key))),
+    const suitable = ready.filter(
+      ({ id }) => !isEngine || engineStates.isResident(id, key, host.getVersion(key)),
     );
+    const limited = suitable.filter((upstream) => rateLimiting.isLimited(upstream));
+    const isResting =
+      holders === 0 &&
+      suitable.length > 0 &&
+      suitable.every((upstream) => readiness.has(now, upstream, 'resting'));
+    if (isResting) {
+      const endsInMs = Math.min(
+        ...suitable.map((upstream) => readiness.getEndsInMs(now, upstream, 'resting')),
+      );
+      const retryAfterMs = getReturnMs(endsInMs, request.deadlineAt - now, host.random());
+      return { ok: false, error: { kind: 'resting', retryAfterMs } };
+    }
     const loadTargets =
       kind === 'noAdapter'
         ? getLoadTargets(now, { key, model: model ?? '', version: host.getVersion(key) })
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -32,6 +32,7 @@
 import createCrashDetector from '../quarantine/createCrashDetector';
 import createCrashGuard from '../quarantine/createCrashGuard';
 import createReadiness from '../readiness/createReadiness';
+import createRests from '../readiness/createRests';
 import createRateLimiting from '../rateLimits/createRateLimiting';
 import createStreamOrigins from '../streams/createStreamOrigins';
 import getSoftwareVersion from '../streams/getSoftwareVersion';
@@ -156,9 +157,16 @@
       engines.close(id);
     },
   });
+  const rests = createRests({
+    ...host,
+    broadcast: broadcaster.broadcast,
+    onRestElsewhere: health.recordRefusalElsewhere,
+    countRest: () => metrics.readinessNotices.inc({ kind: 'rest' }),
+  });
   const readiness = createReadiness([
     (_, { id }) =>
       upstreams.tryGet(id)?.state === 'ready' ? undefined : { kind: 'leaving', isBinding: true },
+    rests.tryGetObstacle,
     (now, upstream) =>
       rateLimiting.isClosed(now, upstream) ? { kind: 'limited', isBinding: true } : undefined,
     (now, { id }) =>
@@ -186,6 +194,9 @@
       tryGetFence: ownerships.tryGetFence,
       getVersion,
       getEngineService: (service) => manifest?.services.get(service)?.engine,
+      getRestMs: rests.getEndsInMs,
+      observeHead: (upstream, status, headers) =>
+        rests.observe(host.now(), upstream, host.decodeHead(status, headers)),
       getMaxConcurrentLoads: (engine) =>
         getMaxConcurrentLoads(getEngineIds().length, engineStates.getLoadCountElsewhere(engine)),
       announce: (state, requesters) => {
@@ -313,6 +324,7 @@
         recordStreamBegin: streamOrigins.recordBegin,
         recordServed: crashGuard.recordServed,
         recordBegun: crashGuard.recordBegun,
+        observeReadiness: rests.observe,
         getService: (name) => manifest?.services.get(name),
         getVmCount: members.getSharerCount,
         endPrefill: (engine, id) => {
@@ -503,6 +515,7 @@
       .with({ kind: 'turnOver' }, ({ engine, id }) => prefill.finish(now, engine, id))
       .with({ kind: 'loadRefused' }, ({ engine, key }) => pendingLoads.retryElsewhere(engine, key))
       .with({ kind: 'upstreamLimits' }, ({ statements }) => rateLimiting.receive(now, statements))
+      .with({ kind: 'upstreamRested' }, (rested) => rests.receive(now, rested))
       .with({ kind: 'permitWanted' }, (wanted) => rateLimiting.handleRequest(from, wanted))
       .with({ kind: 'permit' }, ({ id, ...reply }) => rateLimiting.handleReply(id, reply))
       .with({ kind: 'upstreamCrash' }, (report) => crashGuard.receiveCrash(now, report))
--- a/src/gateway/Refusal.ts
+++ b/src/gateway/Refusal.ts
@@ -6,9 +6,12 @@
   | { kind: 'headerTooLarge' }
   | { kind: 'bodyTooLarge' }
   | { kind: 'slowBody' }
-  /** `limited`: the upstreams that could serve the request take no more than they do now. */
+  /**
+   * `limited`: the upstreams that could serve the request take no more than they do now. `resting`:
+   * they want none of this VM for some time.
+   */
   | {
-      kind: 'noUpstream' | 'busy' | 'noAdapter' | 'limited';
+      kind: 'noUpstream' | 'busy' | 'noAdapter' | 'limited' | 'resting';
       retryAfterMs: number;
       seen?: CapacityDetails;
     }
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -1,4 +1,3 @@
-import { match } from 'ts-pattern';
 import getAdapterKey from '../engines/getAdapterKey';
 import type Log from '../events/Log';
 import type Service from '../manifest/Service';
@@ -62,6 +61,8 @@
   recordServed(now: number, request: CallerRequest): void;
   /** Reports that an upstream did not end as it began to respond. */
   recordBegun(now: number, request: CallerRequest): void;
+  /** Records what the head of a response states about its upstream's readiness. */
+  observeReadiness(now: number, upstream: Upstream, head: ResponseHead): void;
   log: Log;
 }
 
@@ -127,10 +128,13 @@
         return endUnsent({ kind: 'notSent', reason: 'limited' });
       }
     }
-    // The upstream may have started to leave while the request waited.
+    // The upstream may have become unready while the request waited.
     if (parts.readiness.has(host.now(), upstream, 'leaving')) {
       return endUnsent({ kind: 'notSent', reason: 'upstreamLeft' });
     }
+    if (parts.readiness.has(host.now(), upstream, 'resting')) {
+      return endUnsent({ kind: 'notSent', reason: 'resting' });
+    }
     if (host.tryGetBlock(host.now(), request.callerRequest)) {
       return endUnsent({ kind: 'notSent', reason: 'blocked' });
     }
@@ -167,7 +171,7 @@
         },
         onHead: (now, head) => {
           parts.rateLimiting.observe(now, upstream, head, sentAt);
-          logReadiness(upstream, head);
+          host.observeReadiness(now, upstream, head);
         },
         onFirstByte: (now, head) => {
           beganAt ??= now;
@@ -217,20 +221,6 @@
     return outcome;
   };
 
-  /** Logs what the head of a response states about its upstream's readiness. */
-  function logReadiness({ id, state }: Upstream, { isLeaving, rest }: ResponseHead): void {
-    if (isLeaving) {
-      host.log('upstreamStatedLeaving', { upstream: id, registered: state });
-    }
-    match(rest)
-      .with({ kind: 'none' }, () => {})
-      .with({ kind: 'stated' }, ({ ms }) => host.log('upstreamRested', { upstream: id, ms }))
-      .with({ kind: 'unreadable' }, ({ text }) =>
-        host.log('restUnreadable', { upstream: id, text }),
-      )
-      .exhaustive();
-  }
-
   /** Waits for a prefill permission of the engine, as long as the request can still be in time. */
   async function waitForPrefill(
     request: ActiveRequest,
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -110,7 +110,7 @@
           ? fail('busy')
           : refuse({ kind: 'busy', retryAfterMs: getRetryAfterMs(host.random()) });
       })
-      .with({ kind: 'notSent', reason: 'limited' }, () => {
+      .with({ kind: 'notSent', reason: P.union('limited', 'resting') }, () => {
         excludedUpstreams.add(placement.upstream.id);
         return 'retry';
       })
--- a/src/gateway/writeRefusal.ts
+++ b/src/gateway/writeRefusal.ts
@@ -22,6 +22,7 @@
         'busy',
         'noAdapter',
         'limited',
+        'resting',
         'deadline',
         'blocked',
         'unknownOrigin',
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -296,6 +296,13 @@
   }),
   /** Carries limits of upstreams; see `src/rateLimits/LimitStatement.ts`. */
   z.object({ kind: z.literal('upstreamLimits'), statements: z.array(UpstreamLimit) }),
+  /** Announces that an upstream has turned away a request of the sender for some time. */
+  z.object({
+    kind: z.literal('upstreamRested'),
+    upstream: z.string(),
+    startedAt: z.number(),
+    endsInMs: z.number(),
+  }),
   /**
    * Requests a permit for one request to an upstream that states a limit, from the VM that issues
    * them; the reply is `permit`.
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -75,6 +75,11 @@
     permits: counter('upstream_permits_total', 'Permits wanted for limited upstreams.', [
       'outcome',
     ]),
+    readinessNotices: counter(
+      'upstream_readiness_notices_total',
+      'Responses in which upstreams wanted no more requests, by what they stated.',
+      ['kind'],
+    ),
     limitedUpstreams: gauge(
       'limited_upstreams',
       'Upstreams that state a limit for requests of all VMs.',
--- a/src/readiness/createReadiness.ts
+++ b/src/readiness/createReadiness.ts
@@ -18,6 +18,9 @@
     /** Returns whether an upstream gets requests only if no other one is left. */
     isAvoided: (now: number, upstream: Upstream) =>
       getObstacles(now, upstream).some(({ isBinding }) => !isBinding),
+    /** Returns the time until an obstacle of a kind ends; Infinity if that is not known. */
+    getEndsInMs: (now: number, upstream: Upstream, kind: Obstacle['kind']) =>
+      getObstacles(now, upstream).find((obstacle) => obstacle.kind === kind)?.endsInMs ?? Infinity,
     has: (now: number, upstream: Upstream, kind: Obstacle['kind']) =>
       getObstacles(now, upstream).some((obstacle) => obstacle.kind === kind),
   };
--- a/src/upstream/createUpstreamHealth.ts
+++ b/src/upstream/createUpstreamHealth.ts
@@ -7,6 +7,8 @@
 const MAX_RELATIVE_LATENCY = 8;
 /** Time constant of the exponential decay of the failure rate. */
 const DECAY_TIME_CONSTANT_MS = 4000;
+/** Failure rate of an upstream that turns requests of other VMs away. */
+const REFUSAL_FAILURE_RATE = 0.5;
 
 interface Health {
   failureRate: number;
@@ -68,6 +70,12 @@
     return true;
   }
 
+  /** Records that an upstream turns requests of other VMs away, so that others are preferred. */
+  function recordRefusalElsewhere(now: number, upstream: string): void {
+    const health = decayHealth(now, upstream);
+    health.failureRate = Math.max(health.failureRate, REFUSAL_FAILURE_RATE);
+  }
+
   /** Returns the latency of an upstream divided by the median of `peers`, within bounds. */
   function getRelativeLatency(upstream: string, peers: readonly string[]): number {
     const latencies = peers
@@ -88,6 +96,7 @@
   return {
     recordSuccess,
     recordFailure,
+    recordRefusalElsewhere,
     getFailureRate: (now: number, upstream: string) => decayHealth(now, upstream).failureRate,
     getRelativeLatency,
     isSuspended: (now: number, upstream: string) => now < decayHealth(now, upstream).suspendedUntil,
--- a/test/routed/engine.test.ts
+++ b/test/routed/engine.test.ts
@@ -25,6 +25,25 @@
 };
 
 describe('createEngine', () => {
+  it('calls no engine that wants no requests, and refuses loads there at once', async () => {
+    const { clock, engine, fake, refused, getState } = createTestEngine();
+    await clock.advance(1000);
+    requestLoad(engine, 'a1');
+    fake.restsUntil = clock.now() + 3000;
+    const since = clock.now();
+    await clock.advance(100);
+    requestLoad(engine, 'a2');
+    engine.invalidateState();
+    expect(refused).to.include('m/a2 failed');
+    await clock.advance(2800);
+    expect(fake.callTimes.filter((at) => at > since)).to.have.length(0);
+    expect(getState().isReachable).to.equal(true);
+    await clock.advance(1000);
+    requestLoad(engine, 'a3');
+    await clock.advance(1000);
+    expect(getResidentKeys(getState())).to.include('m/a3');
+  });
+
   it('loads a requested adapter and announces it as resident', async () => {
     const { clock, engine, getState } = createTestEngine();
     requestLoad(engine, 'a1');
@@ -171,6 +190,8 @@
     loading: new Map<string, number>(),
     sequence: 0,
     commandCount: 0,
+    callTimes: [] as number[],
+    restsUntil: -Infinity,
     conflicts: 0,
     crashes: 0,
     lostResponses: 0,
@@ -250,6 +271,7 @@
       ...clock,
       sendCommand: async (command, condition) => {
         fake.commandCount += 1;
+        fake.callTimes.push(clock.now());
         if (fake.isUnresponsive) {
           return { ok: false, error: { kind: 'noAnswer', reason: 'silent' } };
         }
@@ -270,6 +292,7 @@
         return executeCommand(command, condition.expectedSequence);
       },
       getReport: async () => {
+        fake.callTimes.push(clock.now());
         if (fake.isUnresponsive) {
           return { ok: false, error: { kind: 'noAnswer', reason: 'silent' } };
         }
@@ -292,6 +315,7 @@
         };
       },
       tryGetFence: () => ownership.fence,
+      getRestMs: (now) => Math.max(0, fake.restsUntil - now),
       getUse: (now, key) => ({
         inFlight: inUse.has(key) ? 1 : 0,
         lastUsedAt: inUse.has(key) ? now : -Infinity,
--- a/test/routed/lateLoads.test.ts
+++ b/test/routed/lateLoads.test.ts
@@ -110,6 +110,8 @@
         }),
       },
       tryGetFence: () => 1,
+      getRestMs: () => 0,
+      observeHead: () => {},
       getVersion: () => 1,
       getEngineService: () => SERVICE,
       getMaxConcurrentLoads: () => 4,
