DRAIN: a response that states that its upstream leaves ends new requests there

What callers saw: requests were sent to upstreams seconds after these had said that they leave; the registration was the only source, and reaches a VM late when readers, links or its own processor are busy. A departure is now kept for each incarnation, from registrations, from the head of any response (requests, commands, reports) and from other VMs, which are told at once. It outlasts older records. Waits for turns and loads at such an upstream end at once, and the owner of an engine has the adapters in use loaded elsewhere.

--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -439,7 +439,16 @@
     refuseAll('failed');
   }
 
-  return { requestLoad, run, invalidateState, stop, announce, upstream };
+  return {
+    requestLoad,
+    run,
+    invalidateState,
+    stop,
+    announce,
+    upstream,
+    /** Refuses the loads that wait, since the engine leaves. */
+    refuseLoads: () => refuseAll('failed'),
+  };
 }
 
 function createSlot(
--- a/src/engines/createPendingLoads.ts
+++ b/src/engines/createPendingLoads.ts
@@ -125,7 +125,20 @@
       .forEach(requestFromNextEngine);
   }
 
-  return { request, resolveServable, retryElsewhere, getPendingCount: () => pendingLoads.size };
+  /** Requests adapters from other engines than one that leaves. */
+  function leaveEngine(engine: string): void {
+    [...pendingLoads.values()]
+      .filter((pending) => pending.engine === engine)
+      .forEach(requestFromNextEngine);
+  }
+
+  return {
+    request,
+    resolveServable,
+    leaveEngine,
+    retryElsewhere,
+    getPendingCount: () => pendingLoads.size,
+  };
 }
 
 function getLoadKey({ key, softwareVersion }: WantedAdapter): string {
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -172,6 +172,7 @@
           { kind: 'streamOrigins' },
           { kind: 'upstreamLimits' },
           { kind: 'upstreamRested' },
+          { kind: 'upstreamsLeaving' },
           { kind: 'permitWanted' },
           { kind: 'permit' },
         ),
--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -1,3 +1,4 @@
+import COPY_URGENCY from '../engines/COPY_URGENCY';
 import type EngineStates from '../engines/EngineStates';
 import getAdapterKey from '../engines/getAdapterKey';
 import type LoadTarget from '../engines/LoadTarget';
@@ -30,8 +31,6 @@
 const MAX_PREFERRED_FILL = 0.8;
 /** Minimum time between two copies of adapters that this VM requests. */
 const MIN_COPY_INTERVAL_MS = 200;
-/** Less urgent than the loads that requests wait for, so copies are loaded after them. */
-const COPY_URGENCY = 5;
 
 interface PlacementHost extends Clock {
   getManifest(): Manifest | undefined;
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -32,7 +32,6 @@
 import createCrashDetector from '../quarantine/createCrashDetector';
 import createCrashGuard from '../quarantine/createCrashGuard';
 import createReadiness from '../readiness/createReadiness';
-import createRests from '../readiness/createRests';
 import createRateLimiting from '../rateLimits/createRateLimiting';
 import createStreamOrigins from '../streams/createStreamOrigins';
 import getSoftwareVersion from '../streams/getSoftwareVersion';
@@ -40,6 +39,7 @@
 import getUsageSource from '../usage/getUsageSource';
 import createUsagePublisher from '../usage/createUsagePublisher';
 import createPlacement from './createPlacement';
+import handleDeparture from './handleDeparture';
 import isOutdated from './isOutdated';
 import type RoutedEntryHost from './RoutedEntryHost';
 import type RoutedEntryOptions from './RoutedEntryOptions';
@@ -53,6 +53,8 @@
 const PERMIT_ISSUER_INTERVAL_MS = 250;
 /** Interval at which limits of upstreams are repeated, for VMs that missed them. */
 const LIMITS_INTERVAL_MS = 1000;
+/** Interval at which departures of upstreams are repeated, for VMs that missed them. */
+const DEPARTURES_INTERVAL_MS = 1000;
 const ORIGINS_INTERVAL_MS = 50;
 /**
  * Below the time after which a new software version is used, so that a VM whose mirror is this old
@@ -144,6 +146,7 @@
     getKeyValueFailedAt: mirror.getFailedAt,
     getKeyValueRestoredAt: mirror.getRestoredAt,
     onChange: (upstream) => {
+      readiness.observeRegistration(host.now(), upstream);
       engineStates.applyRegistration(upstream);
       engines.reopenIfRestarted(upstream);
       pendingLoads.resolveServable();
@@ -157,23 +160,25 @@
       engines.close(id);
     },
   });
-  const rests = createRests({
-    ...host,
-    broadcast: broadcaster.broadcast,
-    onRestElsewhere: health.recordRefusalElsewhere,
-    countRest: () => metrics.readinessNotices.inc({ kind: 'rest' }),
-  });
-  const readiness = createReadiness([
-    (_, { id }) =>
-      upstreams.tryGet(id)?.state === 'ready' ? undefined : { kind: 'leaving', isBinding: true },
-    rests.tryGetObstacle,
-    (now, upstream) =>
-      rateLimiting.isClosed(now, upstream) ? { kind: 'limited', isBinding: true } : undefined,
-    (now, { id }) =>
-      health.isSuspended(now, id) ? { kind: 'suspended', isBinding: false } : undefined,
-    (_, { id }) =>
-      engineStates.isUnreachable(id) ? { kind: 'unreachable', isBinding: false } : undefined,
-  ]);
+  const readiness = createReadiness(
+    {
+      ...host,
+      broadcast: broadcaster.broadcast,
+      onDeparture: (now, id) =>
+        handleDeparture(now, id, {
+          prefillClient,
+          pendingLoads,
+          engines,
+          upstreams,
+          readiness,
+          usage,
+          engineStates,
+          getVersion,
+        }),
+      countNotice: (kind) => metrics.readinessNotices.inc({ kind }),
+    },
+    { upstreams, rateLimiting, health, engineStates },
+  );
   const ownerships = createOwnerships(
     {
       ...host,
@@ -194,9 +199,9 @@
       tryGetFence: ownerships.tryGetFence,
       getVersion,
       getEngineService: (service) => manifest?.services.get(service)?.engine,
-      getRestMs: rests.getEndsInMs,
+      getRestMs: readiness.getRestMs,
       observeHead: (upstream, status, headers) =>
-        rests.observe(host.now(), upstream, host.decodeHead(status, headers)),
+        readiness.observe(host.now(), upstream, host.decodeHead(status, headers)),
       getMaxConcurrentLoads: (engine) =>
         getMaxConcurrentLoads(getEngineIds().length, engineStates.getLoadCountElsewhere(engine)),
       announce: (state, requesters) => {
@@ -324,7 +329,7 @@
         recordStreamBegin: streamOrigins.recordBegin,
         recordServed: crashGuard.recordServed,
         recordBegun: crashGuard.recordBegun,
-        observeReadiness: rests.observe,
+        observeReadiness: readiness.observe,
         getService: (name) => manifest?.services.get(name),
         getVmCount: members.getSharerCount,
         endPrefill: (engine, id) => {
@@ -492,7 +497,7 @@
       .with({ kind: 'loadWanted' }, (request) => {
         const engine = engines.tryGet(request.engine);
         const { model, adapter, version, urgency, waitMs } = request;
-        if (!engine) {
+        if (!engine || readiness.has(now, engine.upstream, 'leaving')) {
           const key = getAdapterKey(model, adapter);
           sendOrDeliver(from, { kind: 'loadRefused', engine: request.engine, key });
           return;
@@ -515,7 +520,10 @@
       .with({ kind: 'turnOver' }, ({ engine, id }) => prefill.finish(now, engine, id))
       .with({ kind: 'loadRefused' }, ({ engine, key }) => pendingLoads.retryElsewhere(engine, key))
       .with({ kind: 'upstreamLimits' }, ({ statements }) => rateLimiting.receive(now, statements))
-      .with({ kind: 'upstreamRested' }, (rested) => rests.receive(now, rested))
+      .with({ kind: 'upstreamsLeaving' }, (announced) =>
+        readiness.receiveDepartures(now, from, announced.upstreams),
+      )
+      .with({ kind: 'upstreamRested' }, (rested) => readiness.receiveRest(now, rested))
       .with({ kind: 'permitWanted' }, (wanted) => rateLimiting.handleRequest(from, wanted))
       .with({ kind: 'permit' }, ({ id, ...reply }) => rateLimiting.handleReply(id, reply))
       .with({ kind: 'upstreamCrash' }, (report) => crashGuard.receiveCrash(now, report))
@@ -545,6 +553,7 @@
       checkCongestion(host.now());
     });
     runPeriodically(host, PERMIT_ISSUER_INTERVAL_MS, () => rateLimiting.refresh(host.now()));
+    runPeriodically(host, DEPARTURES_INTERVAL_MS, () => readiness.publish(host.now()));
     runPeriodically(host, LIMITS_INTERVAL_MS, () => rateLimiting.publish(host.now()));
     runPeriodically(host, STATES_INTERVAL_MS, () => engines.announceStates());
     runPeriodically(host, ORIGINS_INTERVAL_MS, () => streamOrigins.publish(host.now()));
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -296,6 +296,11 @@
   }),
   /** Carries limits of upstreams; see `src/rateLimits/LimitStatement.ts`. */
   z.object({ kind: z.literal('upstreamLimits'), statements: z.array(UpstreamLimit) }),
+  /** Announces incarnations of upstreams that have stated in responses that they leave. */
+  z.object({
+    kind: z.literal('upstreamsLeaving'),
+    upstreams: z.array(z.object({ id: z.string(), startedAt: z.number() })),
+  }),
   /** Announces that an upstream has turned away a request of the sender for some time. */
   z.object({
     kind: z.literal('upstreamRested'),
--- a/src/prefill/createPrefillClient.ts
+++ b/src/prefill/createPrefillClient.ts
@@ -14,6 +14,7 @@
 type PrefillOutcome = 'granted' | 'refused' | 'unknown';
 
 interface PendingRequest {
+  engine: string;
   isQueued: boolean;
   end: (outcome: PrefillOutcome) => void;
 }
@@ -39,7 +40,7 @@
         pendingRequests.delete(prefillRequest.id);
         resolve(outcome);
       };
-      const pending: PendingRequest = { isQueued: false, end };
+      const pending: PendingRequest = { engine, isQueued: false, end };
       pendingRequests.set(prefillRequest.id, pending);
       if (!host.sendRequest(engine, prefillRequest, waitMs)) {
         end('unknown');
@@ -77,5 +78,12 @@
     pendingRequests.get(id)?.end('unknown');
   }
 
-  return { request, handleReply, cancel };
+  /** Ends all waits for an engine, which takes no more requests. */
+  function refuseAll(engine: string): void {
+    [...pendingRequests.values()]
+      .filter((pending) => pending.engine === engine)
+      .forEach((pending) => pending.end('refused'));
+  }
+
+  return { request, handleReply, cancel, refuseAll };
 }
--- a/src/readiness/createReadiness.ts
+++ b/src/readiness/createReadiness.ts
@@ -1,27 +1,70 @@
+import type EngineStates from '../engines/EngineStates';
+import type Log from '../events/Log';
+import type ResponseHead from '../gateway/ResponseHead';
+import type Message from '../mesh/Message';
+import type RateLimiting from '../rateLimits/RateLimiting';
 import type Upstream from '../upstream/Upstream';
-import type Obstacle from './Obstacle';
-import type ReadinessSource from './ReadinessSource';
+import type UpstreamHealth from '../upstream/UpstreamHealth';
+import type Upstreams from '../upstream/Upstreams';
+import createDepartures from './createDepartures';
+import createObstacles from './createObstacles';
+import createRests from './createRests';
+
+interface ReadinessHost {
+  broadcast(message: Message): void;
+  /** Called once for each incarnation of an upstream that is known to leave. */
+  onDeparture(now: number, upstream: string): void;
+  countNotice(kind: 'leaving' | 'rest'): void;
+  log: Log;
+}
 
 /**
- * Creates this VM's account of whether upstreams are ready for new requests. It holds no state: each
- * source keeps what it knows, and decides when that ends. All binding obstacles of an upstream must
- * have ended before it gets a request.
+ * Creates this VM's account of whether upstreams are ready for new requests. Each source keeps what it
+ * knows, and decides when that ends.
  */
-export default function createReadiness(sources: readonly ReadinessSource[]) {
-  const getObstacles = (now: number, upstream: Upstream): Obstacle[] =>
-    sources.flatMap((getObstacle) => getObstacle(now, upstream) ?? []);
+export default function createReadiness(
+  host: ReadinessHost,
+  parts: {
+    upstreams: Pick<Upstreams, 'tryGet'>;
+    rateLimiting: Pick<RateLimiting, 'isClosed'>;
+    health: Pick<UpstreamHealth, 'isSuspended' | 'recordRefusalElsewhere'>;
+    engineStates: Pick<EngineStates, 'isUnreachable'>;
+  },
+) {
+  const rests = createRests({
+    ...host,
+    onRestElsewhere: parts.health.recordRefusalElsewhere,
+    countRest: () => host.countNotice('rest'),
+  });
+  const departures = createDepartures({
+    ...host,
+    tryGetUpstream: parts.upstreams.tryGet,
+    countDeparture: () => host.countNotice('leaving'),
+  });
+  const obstacles = createObstacles([
+    departures.tryGetObstacle,
+    (_, { id }) => (parts.upstreams.tryGet(id) ? undefined : { kind: 'leaving', isBinding: true }),
+    rests.tryGetObstacle,
+    (now, upstream) =>
+      parts.rateLimiting.isClosed(now, upstream) ? { kind: 'limited', isBinding: true } : undefined,
+    (now, { id }) =>
+      parts.health.isSuspended(now, id) ? { kind: 'suspended', isBinding: false } : undefined,
+    (_, { id }) =>
+      parts.engineStates.isUnreachable(id) ? { kind: 'unreachable', isBinding: false } : undefined,
+  ]);
 
   return {
-    /** Returns whether a request may be sent to an upstream now. */
-    isOpen: (now: number, upstream: Upstream) =>
-      getObstacles(now, upstream).every(({ isBinding }) => !isBinding),
-    /** Returns whether an upstream gets requests only if no other one is left. */
-    isAvoided: (now: number, upstream: Upstream) =>
-      getObstacles(now, upstream).some(({ isBinding }) => !isBinding),
-    /** Returns the time until an obstacle of a kind ends; Infinity if that is not known. */
-    getEndsInMs: (now: number, upstream: Upstream, kind: Obstacle['kind']) =>
-      getObstacles(now, upstream).find((obstacle) => obstacle.kind === kind)?.endsInMs ?? Infinity,
-    has: (now: number, upstream: Upstream, kind: Obstacle['kind']) =>
-      getObstacles(now, upstream).some((obstacle) => obstacle.kind === kind),
+    ...obstacles,
+    /** Records what the head of an upstream's response states, to any kind of request. */
+    observe: (now: number, upstream: Upstream, head: ResponseHead) => {
+      rests.observe(now, upstream, head);
+      departures.observe(now, upstream, head);
+    },
+    observeRegistration: departures.observeRegistration,
+    receiveDepartures: departures.receive,
+    receiveRest: rests.receive,
+    /** Repeats what VMs that started later lack; called at regular intervals. */
+    publish: departures.publish,
+    getRestMs: rests.getEndsInMs,
   };
 }
--- a/src/readiness/createRests.ts
+++ b/src/readiness/createRests.ts
@@ -90,10 +90,5 @@
     receive,
     getEndsInMs,
     tryGetObstacle,
-    /** Returns the number of upstreams that want no requests of this VM now. */
-    getCount: (now: number) => {
-      removeEnded(now);
-      return rests.size;
-    },
   };
 }
