Stand-in, lab and soak play servers that leave, or want no requests, by their responses

Several servers at once; registrations say so late, early or never; callers' requests and servers' records are compared for each VM.

--- a/scripts/lab.ts
+++ b/scripts/lab.ts
@@ -8,6 +8,7 @@
 import meow from 'meow';
 import createRandom from '../bench/createRandom';
 import createCallers from './platform/createCallers';
+import getNoticeViolations from './platform/getNoticeViolations';
 import getLimitUses from './platform/getLimitUses';
 import createPlatformTrial from './platform/createPlatformTrial';
 import writePlot from './writePlot';
@@ -31,6 +32,10 @@
   --limited N          servers of each service that state the limit (default: 1)
   --crashing-share N   part of the chat requests whose prompts crash servers (default: 0)
   --repeated-share N   part of the chat and look requests that come again and crash servers (default: 0)
+  --desks N            plain servers (default: 2)
+  --leaving N          servers of each service that state that they leave (default: 0)
+  --resting N          further servers of each service that want no requests (default: 0)
+  --rest-seconds N     time for which they want none (default: 4)
   --json               figures as JSON instead of a table
   --plot FILE          latencies by kind and build as SVG`,
   {
@@ -49,6 +54,10 @@
       limited: { type: 'number', default: 1 },
       crashingShare: { type: 'number', default: 0 },
       repeatedShare: { type: 'number', default: 0 },
+      desks: { type: 'number', default: 2 },
+      leaving: { type: 'number', default: 0 },
+      resting: { type: 'number', default: 0 },
+      restSeconds: { type: 'number', default: 4 },
       json: { type: 'boolean', default: false },
       plot: { type: 'string' },
     },
@@ -80,6 +89,7 @@
   const trial = createPlatformTrial({
     vms: flags.vms,
     engines: flags.engines,
+    desks: flags.desks,
     network: 90,
     // The bundle of this checkout is built once, in the first round.
     bundle: bundle === OWN_BUNDLE && round === 1 ? undefined : bundle,
@@ -102,6 +112,7 @@
     const limits = limitedServers.map(({ id }) => [id, flags.limit]);
     await trial.post('limits', Object.fromEntries(limits));
   }
+  setTimeout(() => stateNotices(trial), WARM_UP_MS);
   const startedAt = Date.now();
   const callersRun = callers.run();
   await new Promise((resolve) => {
@@ -118,6 +129,10 @@
     process.stderr.write(`${use.server}: ${share} of its limit used (${use.arrived})\n`);
   });
   violations.push(...callers.getCrashViolations(record), ...callers.getMixedViolations());
+  const requests = new Map(callers.getResults().map((result) => [result.id, result]));
+  const noticed = getNoticeViolations(record, (id) => requests.get(id));
+  process.stderr.write(`${noticed.length} violations of what servers stated\n`);
+  violations.push(...noticed.slice(0, 3));
   const { takenUp, wentOn } = callers.getTakenUp();
   process.stderr.write(`${takenUp} streams taken up, ${wentOn} went on\n`);
   callers
@@ -137,6 +152,20 @@
     });
 }
 
+/** Lets servers of each service state that they leave, or that they want no requests. */
+async function stateNotices(trial: ReturnType<typeof createPlatformTrial>): Promise<void> {
+  const getIds = (from: number, count: number) =>
+    ['models', 'desk'].flatMap((service) =>
+      trial.servers
+        .filter((server) => server.service === service)
+        .slice(from, from + count)
+        .map(({ id }) => id),
+    );
+  const { leaving, resting, restSeconds: seconds } = flags;
+  await trial.post('leave', { ids: getIds(0, leaving), recordLagMs: null });
+  await trial.post('rest', { ids: getIds(leaving, resting), seconds, forMs: seconds * 1000 });
+}
+
 function getFigures(): Figures[] {
   return flags.bundle.flatMap((bundle) =>
     KINDS.flatMap((kind) => {
--- a/scripts/platform/createPlatformTrial.ts
+++ b/scripts/platform/createPlatformTrial.ts
@@ -32,6 +32,8 @@
 export default function createPlatformTrial(options: {
   vms: number;
   engines: number;
+  /** Plain servers (default: 2). */
+  desks?: number;
   /** Second octet of the loopback addresses; distinct values let trials run side by side. */
   network?: number;
   /** Bundle of the product that the VMs run; built from this checkout if undefined. */
@@ -53,7 +55,7 @@
       kind: 'model' as const,
       service: 'models',
     })),
-    ...Array.from({ length: PLAIN_SERVER_COUNT }, (_, index) => ({
+    ...Array.from({ length: options.desks ?? PLAIN_SERVER_COUNT }, (_, index) => ({
       id: `desk-${index + 1}`,
       kind: 'plain' as const,
       service: 'desk',
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -7,6 +7,8 @@
 import meow from 'meow';
 import createRandom from '../bench/createRandom';
 import createCallers from './platform/createCallers';
+import createNoticeFaults from './platform/createNoticeFaults';
+import getNoticeViolations from './platform/getNoticeViolations';
 import createLimitFaults from './platform/createLimitFaults';
 import getLimitUses from './platform/getLimitUses';
 import createFaults from './platform/createFaults';
@@ -27,6 +29,8 @@
 const CONTACT_MS = 3000;
 /** One in this many seeds also plays servers that state limits. */
 const LIMITED_SEEDS = 3;
+/** One in this many seeds also plays servers that leave or want no requests by their responses. */
+const NOTICED_SEEDS = 3;
 /** One in this many seeds also plays a key-value service that comes back from older copies. */
 const RESTORED_SEEDS = 4;
 const MAX_OLDER_MS = 9000;
@@ -81,10 +85,12 @@
   });
   const faults = createFaults(trial, callers, { random, adapters: ADAPTERS, log: note });
   const limitFaults = createLimitFaults(trial, { random: createRandom(seed + 1), log: note });
+  const noticeFaults = createNoticeFaults(trial, { random: createRandom(seed + 3), log: note });
   const callersRun = callers.run();
   await Promise.all([
     faults.run(seconds * 1000, 900),
     seed % LIMITED_SEEDS === 0 ? limitFaults.run() : undefined,
+    seed % NOTICED_SEEDS === 1 ? noticeFaults.run(seconds * 1000) : undefined,
     seed % RESTORED_SEEDS === 1 ? restoreStore(trial, seed, note) : undefined,
   ]);
   note('all faults are over');
@@ -109,6 +115,16 @@
   });
   violations.push(...crashViolations, ...callers.getMixedViolations());
   const sentTo = new Map(callers.getResults().map(({ id, vm }) => [id, vm]));
+  const requests = new Map(callers.getResults().map((result) => [result.id, result]));
+  const noticeViolations = getNoticeViolations(
+    record,
+    (id) => requests.get(id),
+    (vm, at) => {
+      const name = trial.vms.find((candidate) => trial.getAddress(candidate, 8080) === vm)!;
+      return faults.wasDisturbedWithin(name, at, CONTACT_MS);
+    },
+  );
+  violations.push(...noticeViolations);
   const limitUses = getLimitUses(record, ({ id, at }) => {
     const name = trial.vms.find((vm) => trial.getAddress(vm, 8080) === sentTo.get(id))!;
     return faults.wasDisturbedWithin(name, at, CONTACT_MS);
--- a/standins/platform/ExecutionRecord.ts
+++ b/standins/platform/ExecutionRecord.ts
@@ -24,6 +24,18 @@
   limits: { at: number; server: string; perSecond: number | null }[];
   /** Arrivals of requests at servers that have stated a limit. */
   limitedArrivals: { at: number; server: string; id: string }[];
+  /** Responses in which servers stated that they leave, or want no requests until `endsAt`. */
+  notices: {
+    at: number;
+    server: string;
+    /** Start time of the server. */
+    boot: number;
+    id: string;
+    kind: 'leaving' | 'rest';
+    endsAt: number | null;
+  }[];
+  /** Arrivals of requests at servers that have made such a statement. */
+  noticedArrivals: { at: number; server: string; boot: number; id: string }[];
   /** Number of commands by result. */
   orders: Record<string, number>;
 }
--- a/standins/platform/createModelServer.ts
+++ b/standins/platform/createModelServer.ts
@@ -47,8 +47,8 @@
   getFault(): ServerFault;
   /** Returns the newest announced version of an adapter. */
   getNewestVersion(adapter: string): number;
-  /** Records an arrival; returns the header that states the server's limit, if it has one. */
-  recordArrival(id: string): Record<string, string>;
+  /** Records an arrival; returns what the server states, and whether it turns the request away. */
+  recordArrival(id: string): { headers: Record<string, string>; isTurnedAway: boolean };
   onChange(): void;
   onRestart(): void;
 }
@@ -185,7 +185,7 @@
 
   function startStream(request: http.IncomingMessage, response: http.ServerResponse): void {
     const id = String(request.headers['request-id'] ?? '');
-    const limit = options.recordArrival(id);
+    const { headers: stated, isTurnedAway } = options.recordArrival(id);
     const [model, name] = String(request.headers.model ?? '').split('/');
     const loaded = name === undefined ? undefined : adapters.get(name);
     const version = loaded?.version ?? 1;
@@ -195,9 +195,13 @@
       (name === undefined ||
         (loaded !== undefined && !loaded.isUnloading && loaded.readyAt <= Date.now()));
     const refuse = (status: number) => {
-      response.writeHead(status, { 'not-executed': '1', 'request-id': id, ...limit });
+      response.writeHead(status, { 'not-executed': '1', 'request-id': id, ...stated });
       response.end();
     };
+    if (isTurnedAway) {
+      refuse(503);
+      return;
+    }
     if (!isServable || expectedVersion !== version) {
       refuse(421);
       return;
@@ -261,7 +265,7 @@
           'request-id': id,
           'response-signature': sign(id, options.id),
           'weight-versions': String(version),
-          ...limit,
+          ...stated,
         });
       }
       event += 1;
--- a/standins/platform/createPlainServer.ts
+++ b/standins/platform/createPlainServer.ts
@@ -18,8 +18,8 @@
   options: {
     id: string;
     getFault(): ServerFault;
-    /** Records an arrival; returns the header that states the server's limit, if it has one. */
-    recordArrival(id: string): Record<string, string>;
+    /** Records an arrival; returns what the server states, and whether it turns the request away. */
+    recordArrival(id: string): { headers: Record<string, string>; isTurnedAway: boolean };
     onRestart(): void;
   },
 ) {
@@ -29,9 +29,9 @@
     const id = String(request.headers['request-id'] ?? '');
     request.resume();
     await once(request, 'end');
-    const limit = options.recordArrival(id);
+    const { headers: stated, isTurnedAway } = options.recordArrival(id);
     const refuse = (status: number) => {
-      response.writeHead(status, { 'not-executed': '1', 'request-id': id, ...limit });
+      response.writeHead(status, { 'not-executed': '1', 'request-id': id, ...stated });
       response.end();
     };
     const expected = request.headers['expect-instance'];
@@ -39,7 +39,7 @@
       refuse(421);
       return;
     }
-    if (running >= SLOTS * 2) {
+    if (isTurnedAway || running >= SLOTS * 2) {
       refuse(503);
       return;
     }
@@ -74,7 +74,7 @@
       response.writeHead(500, {
         'request-id': id,
         'response-signature': sign(id, options.id),
-        ...limit,
+        ...stated,
       });
       response.end('failed');
       return;
@@ -84,7 +84,7 @@
     response.writeHead(200, {
       'request-id': id,
       'response-signature': sign(id, options.id),
-      ...limit,
+      ...stated,
     });
     if (fault === 'unframed' && responseCount % TRUNCATION_INTERVAL === 0) {
       response.write('{"id":');
--- a/standins/platform/main.ts
+++ b/standins/platform/main.ts
@@ -9,6 +9,7 @@
 import { Hono } from 'hono';
 import readArguments from '../readArguments';
 import createKeyValueStore from './createKeyValueStore';
+import createServerNotices from './createServerNotices';
 import createModelServer from './createModelServer';
 import createPlainServer from './createPlainServer';
 import createKeyValueApp from './createKeyValueApp';
@@ -34,6 +35,8 @@
   crashingArrivals: [],
   limits: [],
   limitedArrivals: [],
+  notices: [],
+  noticedArrivals: [],
   orders: {},
 };
 const versions = new Map<string, number>();
@@ -45,22 +48,18 @@
 const bootTimes = new Map(layout.servers.map(({ id }) => [id, Date.now()]));
 const softwareVersions = new Map<string, string>();
 const crashes = new Map<string, () => void>();
-/** Requests a second that servers state. */
-const limits = new Map<string, number>();
+/** Returns the models that a model server holds. */
+const modelsOf = new Map<string, () => unknown>();
+const notices = createServerNotices(record, { getBootTime: (server) => bootTimes.get(server) });
+/** Servers whose registrations say that they leave. */
+const registeredLeaving = new Set<string>();
 
 layout.servers.forEach((server) => {
   const getFault = () => faults.servers[server.id] ?? 'none';
-  const recordArrival = (id: string): Record<string, string> => {
-    if (record.limits.some((limit) => limit.server === server.id)) {
-      record.limitedArrivals.push({ at: Date.now(), server: server.id, id });
-    }
-    const limit = limits.get(server.id);
-    return limit === undefined ? {} : { 'server-limit': String(limit) };
-  };
+  const recordArrival = (id: string) => notices.recordArrival(server.id, id);
   if (server.kind === 'plain') {
     const onRestart = () => {
-      setLimit(server.id, null);
-      bootTimes.set(server.id, Date.now());
+      handleRestart(server.id);
       register(server, undefined);
     };
     const plainServer = createPlainServer(record, {
@@ -85,12 +84,12 @@
     getNewestVersion: (adapter) => versions.get(adapter) ?? 1,
     onChange: () => register(server, modelServer.getModels()),
     onRestart: () => {
-      setLimit(server.id, null);
-      bootTimes.set(server.id, Date.now());
+      handleRestart(server.id);
       register(server, modelServer.getModels());
     },
   });
   crashes.set(server.id, modelServer.crash);
+  modelsOf.set(server.id, modelServer.getModels);
   listen(modelServer.server, server.listen);
   register(server, modelServer.getModels());
 });
@@ -118,7 +117,31 @@
 );
 control.post('/limits', async (context) => {
   const changed = await context.req.json<Record<string, number | null>>();
-  Object.entries(changed).forEach(([id, perSecond]) => setLimit(id, perSecond));
+  Object.entries(changed).forEach(([id, perSecond]) => notices.setLimit(id, perSecond));
+  return context.body(null, 200);
+});
+/** Lets servers state that they leave; their registrations say so `recordLagMs` later, or never. */
+control.post('/leave', async (context) => {
+  const { ids, recordLagMs } = await context.req.json<{
+    ids: string[];
+    recordLagMs: number | null;
+  }>();
+  ids.forEach((id) => {
+    notices.leave(id);
+    if (recordLagMs !== null) {
+      setTimeout(() => registerLeaving(id), recordLagMs);
+    }
+  });
+  return context.body(null, 200);
+});
+/** Lets servers turn requests away for `forMs`, and state that they want none for `seconds`. */
+control.post('/rest', async (context) => {
+  const { ids, seconds, forMs } = await context.req.json<{
+    ids: string[];
+    seconds: number;
+    forMs: number;
+  }>();
+  ids.forEach((id) => notices.turnAway(id, seconds, forMs));
   return context.body(null, 200);
 });
 control.post('/crash', async (context) => {
@@ -170,14 +193,10 @@
   return softwareVersions.get(server) ?? 'v1';
 }
 
-function setLimit(server: string, perSecond: number | null): void {
-  if (perSecond === null && !limits.delete(server)) {
-    return;
-  }
-  if (perSecond !== null) {
-    limits.set(server, perSecond);
-  }
-  record.limits.push({ at: Date.now(), server, perSecond });
+function handleRestart(server: string): void {
+  notices.reset(server);
+  registeredLeaving.delete(server);
+  bootTimes.set(server, Date.now());
 }
 
 function register(server: Layout['servers'][number], models: unknown): void {
@@ -187,13 +206,21 @@
     Zone: server.dataCentre,
     Version: getSoftwareVersion(server.id),
     Slots: server.kind === 'plain' ? 6 : layout.slots,
-    State: 'ready',
+    State: registeredLeaving.has(server.id) ? 'draining' : 'ready',
     Seq: 1,
     born: bootTimes.get(server.id),
     ...(models !== undefined && { Models: models }),
   });
 }
 
+function registerLeaving(id: string): void {
+  if (notices.isLeaving(id)) {
+    registeredLeaving.add(id);
+    const server = layout.servers.find((candidate) => candidate.id === id)!;
+    register(server, modelsOf.get(id)?.());
+  }
+}
+
 /** Writes what operators and servers store, which they write again after a restore. */
 function put(key: string, value: unknown): number {
   written.set(key, value);
