--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -17,6 +17,7 @@
 import createRequest from './createRequest';
 import createTestEngine from './createTestEngine';
 import createTestDesks from './createTestDesks';
+import createTestPartitions from './createTestPartitions';
 import createTestKeyValue from './createTestKeyValue';
 import type KeyValueFault from './KeyValueFault';
 
@@ -29,6 +30,8 @@
 
 /** How a call ended; `retryAfterMs` is 0 unless the response names a time to return. */
 interface CallResult {
+  vm: string;
+  path: string;
   sentAt: number;
   status: number;
   retryAfterMs: number;
@@ -67,6 +70,7 @@
     options.desks ?? 0,
   );
   const addresses = Array.from({ length: options.vms }, (_, index) => `10.0.0.${index + 1}:7380`);
+  const partitions = createTestPartitions(clock);
   const faults = new Map<string, KeyValueFault>();
   const lostLinks = new Set<string>();
   let lastFrame: { message: Message; frame: Buffer } | undefined;
@@ -112,13 +116,16 @@
               resumeAfter: Number(resumeAfter),
               isSenderRunning: isRunning,
             };
-            return desk && isRunning()
-              ? desks.run(address, desk, request, handler)
-              : runStream(handler);
+            return partitions.connect(address, upstreamAddress, handler, (guarded) =>
+              desk && isRunning() ? desks.run(address, desk, request, guarded) : runStream(guarded),
+            );
           },
           getOpenCount: () => 0,
         },
-        isConnectionRefused: async (upstreamAddress) => desks.isDown(upstreamAddress),
+        isConnectionRefused: async (upstreamAddress) => {
+          const outcome = await partitions.tryProbe(address);
+          return outcome ? outcome === 'refused' : desks.isDown(upstreamAddress);
+        },
         decodeChange,
         encodeRequest: ({ method, path }, { upstream, resumeAfter = '0' }) => ({
           method,
@@ -184,7 +191,8 @@
           const retryAfter = headers.find(([name]) => name === 'retry-after')?.[1];
           Object.assign(result, { status, retryAfterMs: Number(retryAfter ?? 0) * 1000 });
         },
-        end: () => resolve({ ...result, sentAt, ms: clock.now() - sentAt }),
+        end: () => resolve({ ...result, vm, path, sentAt, ms: clock.now() - sentAt }),
+        abort: () => resolve({ ...result, status: 0, vm, path, sentAt, ms: clock.now() - sentAt }),
       });
     });
   }
@@ -303,6 +311,7 @@
     /** Makes the link between two VMs lose every message in one direction. */
     setLost: (from: string, to: string, isLost: boolean) =>
       isLost ? lostLinks.add(`${from}>${to}`) : lostLinks.delete(`${from}>${to}`),
+    partitions,
     desks,
     sendCall,
     sendCalls,
