No crash of an upstream is reported by a VM that reaches none

What callers saw: sound requests were refused for an hour after some VMs had been partitioned. A refusal now counts only if another upstream, of another service first, accepts a connection of this VM. Five partitions of four VMs while a sound request is under way: blocked on all 8 VMs before, not blocked now.

--- a/src/entry/RoutedEntryHost.ts
+++ b/src/entry/RoutedEntryHost.ts
@@ -8,6 +8,7 @@
 import type KeyValue from '../keyValue/KeyValue';
 import type Message from '../mesh/Message';
 import type Clock from '../shared/Clock';
+import type ProbeOutcome from '../upstream/ProbeOutcome';
 import type createConnections from '../upstream/createConnections';
 import type DecodedChange from './DecodedChange';
 
@@ -17,8 +18,8 @@
     Pick<KeyValue, 'transact' | 'grantLease' | 'keepLeaseAlive' | 'revokeLease'>;
   engines: EngineControl;
   connections: Pick<ReturnType<typeof createConnections>, 'send' | 'getOpenCount'>;
-  /** Returns whether the host at `address` (`ip:port`) refuses connections: no process listens. */
-  isConnectionRefused(address: string): Promise<boolean>;
+  /** Opens a connection to `address` (`ip:port`), sends nothing on it, and returns how that ended. */
+  probe(address: string): Promise<ProbeOutcome>;
   /** Decodes a changed key of the key-value service. */
   decodeChange(change: Change): DecodedChange;
   /** Encodes a caller's request for an upstream. `headers` alternates names and values. */
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -32,6 +32,7 @@
 import createCrashDetector from '../quarantine/createCrashDetector';
 import createCrashGuard from '../quarantine/createCrashGuard';
 import createReadiness from '../readiness/createReadiness';
+import createReach from '../reach/createReach';
 import createRateLimiting from '../rateLimits/createRateLimiting';
 import createStreamOrigins from '../streams/createStreamOrigins';
 import getSoftwareVersion from '../streams/getSoftwareVersion';
@@ -298,8 +299,10 @@
     broadcastNearby: broadcaster.broadcastNearby,
     setBlockCount: (count) => metrics.blocks.set(count),
   });
+  const reach = createReach({ ...host, getUpstreams: upstreams.getAll });
   const crashDetector = createCrashDetector({
     ...host,
+    reachesOthers: reach.reachesOthers,
     onCrash: (report) => crashGuard.reportCrash(host.now(), report),
   });
   const streamOrigins = createStreamOrigins(
--- a/src/quarantine/createCrashDetector.ts
+++ b/src/quarantine/createCrashDetector.ts
@@ -1,6 +1,7 @@
 import type Log from '../events/Log';
 import type CallerRequest from '../gateway/CallerRequest';
 import type Clock from '../shared/Clock';
+import type ProbeOutcome from '../upstream/ProbeOutcome';
 import type Upstream from '../upstream/Upstream';
 import type CrashReport from './CrashReport';
 import getTraits from './getTraits';
@@ -17,7 +18,9 @@
 }
 
 interface CrashDetectorHost extends Clock {
-  isConnectionRefused(address: string): Promise<boolean>;
+  probe(address: string): Promise<ProbeOutcome>;
+  /** Returns whether this VM reaches other upstreams than one. */
+  reachesOthers(upstream: string): Promise<boolean>;
   onCrash(report: CrashReport): void;
   log: Log;
 }
@@ -45,7 +48,9 @@
     }
     const losses = [loss];
     unchecked.set(incarnation, losses);
-    const isEnded = await isProcessEnded(upstream.address);
+    // If no upstream can be reached, a refusal says nothing about this one.
+    const isEnded =
+      (await isProcessEnded(upstream.address)) && (await host.reachesOthers(upstream.id));
     unchecked.delete(incarnation);
     if (isEnded) {
       const newest = losses.sort((left, right) => right.sentAt - left.sentAt);
@@ -54,13 +59,13 @@
   }
 
   async function isProcessEnded(address: string): Promise<boolean> {
-    if (await host.isConnectionRefused(address)) {
+    if ((await host.probe(address)) === 'refused') {
       return true;
     }
     await new Promise<void>((resolve) => {
       host.setTimer(SECOND_CHECK_DELAY_MS, resolve);
     });
-    return host.isConnectionRefused(address);
+    return (await host.probe(address)) === 'refused';
   }
 
   function report(id: string, incarnation: string, losses: readonly Loss[]): void {
--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -122,10 +122,9 @@
           },
           getOpenCount: () => 0,
         },
-        isConnectionRefused: async (upstreamAddress) => {
-          const outcome = await partitions.tryProbe(address);
-          return outcome ? outcome === 'refused' : desks.isDown(upstreamAddress);
-        },
+        probe: async (upstreamAddress) =>
+          (await partitions.tryProbe(address)) ??
+          (desks.isDown(upstreamAddress) ? 'refused' : 'accepted'),
         decodeChange,
         encodeRequest: ({ method, path }, { upstream, resumeAfter = '0' }) => ({
           method,
