The end of an upstream's process is confirmed by other VMs

The former change asked whether another upstream accepts a connection. It also says nothing of a partition from some upstreams only.

--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -172,6 +172,8 @@
           { kind: 'streamOrigins' },
           { kind: 'upstreamLimits' },
           { kind: 'upstreamRested' },
+          { kind: 'probeWanted' },
+          { kind: 'probed' },
           { kind: 'upstreamsLeaving' },
           { kind: 'permitWanted' },
           { kind: 'permit' },
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -32,7 +32,7 @@
 import createCrashDetector from '../quarantine/createCrashDetector';
 import createCrashGuard from '../quarantine/createCrashGuard';
 import createReadiness from '../readiness/createReadiness';
-import createReach from '../reach/createReach';
+import createWitnesses from '../reach/createWitnesses';
 import createRateLimiting from '../rateLimits/createRateLimiting';
 import createStreamOrigins from '../streams/createStreamOrigins';
 import getSoftwareVersion from '../streams/getSoftwareVersion';
@@ -299,10 +299,15 @@
     broadcastNearby: broadcaster.broadcastNearby,
     setBlockCount: (count) => metrics.blocks.set(count),
   });
-  const reach = createReach({ ...host, getUpstreams: upstreams.getAll });
+  const witnesses = createWitnesses({
+    ...host,
+    tryGetUpstream: upstreams.tryGet,
+    getPeers: (now) =>
+      members.getMembers().filter(({ address: vm }) => members.hasRecentHeartbeat(now, vm)),
+  });
   const crashDetector = createCrashDetector({
     ...host,
-    reachesOthers: reach.reachesOthers,
+    isReachedByOthers: witnesses.isReachedByOthers,
     onCrash: (report) => crashGuard.reportCrash(host.now(), report),
   });
   const streamOrigins = createStreamOrigins(
@@ -527,6 +532,8 @@
         readiness.receiveDepartures(now, from, announced.upstreams),
       )
       .with({ kind: 'upstreamRested' }, (rested) => readiness.receiveRest(now, rested))
+      .with({ kind: 'probeWanted' }, (wanted) => witnesses.handleRequest(from, wanted))
+      .with({ kind: 'probed' }, ({ id, outcome }) => witnesses.handleReply(id, outcome))
       .with({ kind: 'permitWanted' }, (wanted) => rateLimiting.handleRequest(from, wanted))
       .with({ kind: 'permit' }, ({ id, ...reply }) => rateLimiting.handleReply(id, reply))
       .with({ kind: 'upstreamCrash' }, (report) => crashGuard.receiveCrash(now, report))
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -296,6 +296,14 @@
   }),
   /** Carries limits of upstreams; see `src/rateLimits/LimitStatement.ts`. */
   z.object({ kind: z.literal('upstreamLimits'), statements: z.array(UpstreamLimit) }),
+  /** Requests that the receiver opens a connection to an upstream; the reply is `probed`. */
+  z.object({ kind: z.literal('probeWanted'), id: z.number(), upstream: z.string() }),
+  /** Reply to `probeWanted`; see `src/upstream/ProbeOutcome.ts`. */
+  z.object({
+    kind: z.literal('probed'),
+    id: z.number(),
+    outcome: z.enum(['accepted', 'refused', 'silent']),
+  }),
   /** Announces incarnations of upstreams that have stated in responses that they leave. */
   z.object({
     kind: z.literal('upstreamsLeaving'),
--- a/src/quarantine/createCrashDetector.ts
+++ b/src/quarantine/createCrashDetector.ts
@@ -19,8 +19,8 @@
 
 interface CrashDetectorHost extends Clock {
   probe(address: string): Promise<ProbeOutcome>;
-  /** Returns whether this VM reaches other upstreams than one. */
-  reachesOthers(upstream: string): Promise<boolean>;
+  /** Returns whether other VMs reach an upstream that refuses this VM's connections. */
+  isReachedByOthers(upstream: string): Promise<boolean>;
   onCrash(report: CrashReport): void;
   log: Log;
 }
@@ -48,9 +48,9 @@
     }
     const losses = [loss];
     unchecked.set(incarnation, losses);
-    // If no upstream can be reached, a refusal says nothing about this one.
+    // A partition can refuse connections in the name of a sound process.
     const isEnded =
-      (await isProcessEnded(upstream.address)) && (await host.reachesOthers(upstream.id));
+      (await isProcessEnded(upstream.address)) && !(await host.isReachedByOthers(upstream.id));
     unchecked.delete(incarnation);
     if (isEnded) {
       const newest = losses.sort((left, right) => right.sentAt - left.sentAt);
