RECOVER: VMs that reach no upstream have their requests carried by others

What callers saw: at VMs partitioned from all servers, next to nothing was served for as long as that lasted, though all other VMs, a millisecond away, reached them. A VM that fails to connect, loses requests or waits for a first byte opens connections to up to four upstreams, one of each service first; if none accepts, it takes itself for partitioned, tells the others, ends what can be made elsewhere, and stops to count the rest as in flight. Until a probe succeeds again, another VM carries its requests: over HTTP on connections of their own, so that bodies and back-pressure do not delay heartbeats, with a token of the cluster, the time and the attempts left. The carrier places and retries them as its own and passes none on; what it refuses has not run. Streams go on where they are known. Requests count once for the retry budget, at their first VM.

--- a/src/entry/RoutedEntryHost.ts
+++ b/src/entry/RoutedEntryHost.ts
@@ -9,6 +9,7 @@
 import type Message from '../mesh/Message';
 import type Clock from '../shared/Clock';
 import type ProbeOutcome from '../upstream/ProbeOutcome';
+import type ResponseHandler from '../upstream/ResponseHandler';
 import type createConnections from '../upstream/createConnections';
 import type DecodedChange from './DecodedChange';
 
@@ -29,6 +30,18 @@
   ): { method: string; path: string; headers: string[]; body: Buffer | undefined };
   /** Decodes the status and headers of an upstream's response. */
   decodeHead(status: number, headers: Record<string, string | string[] | undefined>): ResponseHead;
+  /** Sends a request to another VM; returns undefined if no connection is available. */
+  forwardRequest(
+    vm: string,
+    request: CallerRequest,
+    handler: ResponseHandler,
+  ): { abort(): void; pause(): void; resume(): void } | undefined;
+  /** Decodes the head of another VM's response to a request. */
+  decodeForwardedHead(
+    requestId: string,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): ResponseHead;
   /** Returns whether the message was queued for sending. */
   send(to: string, message: Message): boolean;
   /** Returns the bytes that wait to be sent, by VM; VMs without any are left out. */
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -174,6 +174,7 @@
           { kind: 'upstreamRested' },
           { kind: 'probeWanted' },
           { kind: 'probed' },
+          { kind: 'reach' },
           { kind: 'upstreamsLeaving' },
           { kind: 'permitWanted' },
           { kind: 'permit' },
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -32,6 +32,8 @@
 import createCrashDetector from '../quarantine/createCrashDetector';
 import createCrashGuard from '../quarantine/createCrashGuard';
 import createReadiness from '../readiness/createReadiness';
+import createForwarder from '../forwarding/createForwarder';
+import createReach from '../reach/createReach';
 import createWitnesses from '../reach/createWitnesses';
 import createRateLimiting from '../rateLimits/createRateLimiting';
 import createStreamOrigins from '../streams/createStreamOrigins';
@@ -54,6 +56,7 @@
 const PERMIT_ISSUER_INTERVAL_MS = 250;
 /** Interval at which limits of upstreams are repeated, for VMs that missed them. */
 const LIMITS_INTERVAL_MS = 1000;
+const REACH_INTERVAL_MS = 250;
 /** Interval at which departures of upstreams are repeated, for VMs that missed them. */
 const DEPARTURES_INTERVAL_MS = 1000;
 const ORIGINS_INTERVAL_MS = 50;
@@ -326,36 +329,62 @@
     { address, incarnation },
   );
   const retryBudget = createServiceRetryBudget(members.getSharerCount, options.getRetryLimits);
+  const attempts = createAttempts(
+    {
+      ...host,
+      tryGetBlock: crashGuard.tryGetBlock,
+      recordStreamBegin: streamOrigins.recordBegin,
+      recordServed: crashGuard.recordServed,
+      recordBegun: crashGuard.recordBegun,
+      observeReadiness: readiness.observe,
+      recordByte: (now) => reach.recordByte(now),
+      recordDoubt: (now) => reach.recordDoubt(now),
+      getService: (name) => manifest?.services.get(name),
+      getVmCount: members.getSharerCount,
+      endPrefill: (engine, id) => {
+        const owner = tryGetOwner(engine);
+        if (owner !== undefined) {
+          sendOrDeliver(owner, { kind: 'turnOver', engine, id });
+        }
+      },
+      reportMissingAdapter: (engine, key) => {
+        engineStates.removeAdapter(engine, key);
+        const owner = tryGetOwner(engine);
+        if (owner !== undefined) {
+          sendOrDeliver(owner, { kind: 'engineDoubted', engine });
+        }
+      },
+    },
+    { readiness, usage, health, prefillClient, rateLimiting, crashDetector },
+  );
+  const reach = createReach({
+    ...host,
+    getUpstreams: upstreams.getAll,
+    hasWaited: attempts.hasWaited,
+    broadcast: broadcaster.broadcast,
+    onPartitioned: attempts.leaveUpstreams,
+  });
+  const forwarder = createForwarder(
+    {
+      ...host,
+      isPartitioned: reach.isPartitioned,
+      isPeerPartitioned: reach.isPeerPartitioned,
+      getPeers: (now) => {
+        const serving = new Set(members.getServing(now));
+        return members.getMembers().filter((member) => serving.has(member.address));
+      },
+      countForward: (outcome) => metrics.forwards.inc({ outcome }),
+    },
+    options,
+  );
   const gateway = createGateway({
     ...host,
     getManifest: () => manifest,
     place: placement.place,
-    attempt: createAttempts(
-      {
-        ...host,
-        tryGetBlock: crashGuard.tryGetBlock,
-        recordStreamBegin: streamOrigins.recordBegin,
-        recordServed: crashGuard.recordServed,
-        recordBegun: crashGuard.recordBegun,
-        observeReadiness: readiness.observe,
-        getService: (name) => manifest?.services.get(name),
-        getVmCount: members.getSharerCount,
-        endPrefill: (engine, id) => {
-          const owner = tryGetOwner(engine);
-          if (owner !== undefined) {
-            sendOrDeliver(owner, { kind: 'turnOver', engine, id });
-          }
-        },
-        reportMissingAdapter: (engine, key) => {
-          engineStates.removeAdapter(engine, key);
-          const owner = tryGetOwner(engine);
-          if (owner !== undefined) {
-            sendOrDeliver(owner, { kind: 'engineDoubted', engine });
-          }
-        },
-      },
-      { readiness, usage, health, prefillClient, rateLimiting, crashDetector },
-    ),
+    attempt: attempts.attempt,
+    isPartitioned: reach.isPartitioned,
+    tryGetCarrier: forwarder.tryGetCarrier,
+    forward: forwarder.forward,
     tryGetBlock: crashGuard.tryGetBlock,
     tryGetOrigin: streamOrigins.tryGetOrigin,
     tryGetLimit: rateLimiting.tryGet,
@@ -532,6 +561,7 @@
         readiness.receiveDepartures(now, from, announced.upstreams),
       )
       .with({ kind: 'upstreamRested' }, (rested) => readiness.receiveRest(now, rested))
+      .with({ kind: 'reach' }, (stated) => reach.receive(now, from, stated))
       .with({ kind: 'probeWanted' }, (wanted) => witnesses.handleRequest(from, wanted))
       .with({ kind: 'probed' }, ({ id, outcome }) => witnesses.handleReply(id, outcome))
       .with({ kind: 'permitWanted' }, (wanted) => rateLimiting.handleRequest(from, wanted))
@@ -563,6 +593,10 @@
       checkCongestion(host.now());
     });
     runPeriodically(host, PERMIT_ISSUER_INTERVAL_MS, () => rateLimiting.refresh(host.now()));
+    runPeriodically(host, REACH_INTERVAL_MS, () => {
+      reach.refresh(host.now());
+      metrics.isPartitioned.set(reach.isPartitioned() ? 1 : 0);
+    });
     runPeriodically(host, DEPARTURES_INTERVAL_MS, () => readiness.publish(host.now()));
     runPeriodically(host, LIMITS_INTERVAL_MS, () => rateLimiting.publish(host.now()));
     runPeriodically(host, STATES_INTERVAL_MS, () => engines.announceStates());
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -104,6 +104,12 @@
   streamOriginsUnreadable: e(265, 'warn', 'A record of origins of streams could not be decoded.'),
   clockJumped: e(240, 'warn', 'The time of day jumped relative to the steady clock.'),
   loopDelayed: e(241, 'warn', 'The event loop of this entry VM was held up.'),
+  upstreamsUnreachable: e(
+    242,
+    'warn',
+    'This entry VM reaches no upstream; other VMs carry its requests.',
+  ),
+  upstreamsReachable: e(243, 'info', 'This entry VM reaches upstreams again.'),
   rowApplied: e(300, 'debug', 'A table row is in force on this entry VM.'),
   editAccepted: e(301, 'info', 'A table edit was accepted.'),
   editRefused: e(302, 'info', 'A table edit was refused.'),
@@ -139,6 +145,7 @@
   chunkDropped: e(503, 'warn', 'A chunk of another request or model was dropped.'),
   requestRetried: e(504, 'info', 'A request is retried.'),
   requestEnded: e(505, 'info', 'A request has ended.'),
+  requestForwarded: e(506, 'info', 'A request was forwarded to another VM, which carries it.'),
   callClaimed: e(510, 'debug', 'A non-idempotent call was claimed.'),
   callReleased: e(
     511,
--- a/src/gateway/ActiveRequest.ts
+++ b/src/gateway/ActiveRequest.ts
@@ -30,9 +30,13 @@
   prefillWaitMs: number;
   /** Longest time between two chunks of the response body. */
   longestPauseMs: number;
+  /** Whether events were written that came by way of another VM. */
+  isBegunElsewhere: boolean;
   isCallerGone: boolean;
   /** Aborts the wait or attempt in progress; called when the caller has disconnected. */
   abort: () => void;
+  /** Ends the attempt in progress as one without a response; it can then be made elsewhere. */
+  giveUp: () => void;
 }
 
 export default ActiveRequest;
--- a/src/gateway/CallerRequest.ts
+++ b/src/gateway/CallerRequest.ts
@@ -26,6 +26,11 @@
   /** Id of the request that brought the first event of the stream that this one resumes. */
   resumedRequest: string | undefined;
   body: Buffer;
+  /**
+   * Set if another VM forwards the request because it reaches no upstream; `attempts` is the number of
+   * upstreams that may still run it.
+   */
+  forwarded?: { attempts: number };
 }
 
 export default CallerRequest;
--- a/src/gateway/Refusal.ts
+++ b/src/gateway/Refusal.ts
@@ -1,6 +1,7 @@
 /** Reason sent to a caller whose request is refused. A refused request has not run. */
 type Refusal =
-  | { kind: 'notReady'; retryAfterMs: number }
+  /** `partitioned`: this VM reaches no upstream, and another VM forwarded the request to it. */
+  | { kind: 'notReady' | 'partitioned'; retryAfterMs: number }
   | { kind: 'noRoute' }
   | { kind: 'badRequest'; detail: string }
   | { kind: 'headerTooLarge' }
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -63,9 +63,23 @@
   recordBegun(now: number, request: CallerRequest): void;
   /** Records what the head of a response states about its upstream's readiness. */
   observeReadiness(now: number, upstream: Upstream, head: ResponseHead): void;
+  /** Records that an upstream has sent bytes. */
+  recordByte(now: number): void;
+  /** Records that a request failed in a way that a partition from all upstreams explains. */
+  recordDoubt(now: number): void;
   log: Log;
 }
 
+/** An attempt in progress. */
+interface PendingAttempt {
+  sentAt: number;
+  hasBegun: boolean;
+  /** Ends it so that it can be made elsewhere; undefined if the request may run once only. */
+  giveUp: (() => void) | undefined;
+  /** Stops to count it as in flight at its upstream. */
+  endUse: () => void;
+}
+
 /** Creates the function that sends a request to its placement and records the outcome. */
 export default function createAttempts(
   host: AttemptsHost,
@@ -78,7 +92,9 @@
     crashDetector: Pick<ReturnType<typeof createCrashDetector>, 'checkUpstream'>;
   },
 ) {
-  return async function attempt(
+  const pending = new Set<PendingAttempt>();
+
+  async function attempt(
     request: ActiveRequest,
     placement: Placement,
     isLast: boolean,
@@ -140,6 +156,18 @@
     }
     let beganAt: number | undefined;
     let sentAt = host.now();
+    const pendingAttempt: PendingAttempt = {
+      sentAt,
+      hasBegun: false,
+      giveUp: isRetryable ? () => request.giveUp() : undefined,
+      endUse: () => {
+        endRequest(host.now());
+        if (isEngine) {
+          host.endPrefill(upstream.id, request.callerRequest.id);
+        }
+      },
+    };
+    pending.add(pendingAttempt);
     const outcome = await sendAttempt(
       {
         ...host,
@@ -170,11 +198,14 @@
           }
         },
         onHead: (now, head) => {
+          pendingAttempt.hasBegun = true;
+          host.recordByte(now);
           parts.rateLimiting.observe(now, upstream, head, sentAt);
           host.observeReadiness(now, upstream, head);
         },
         onFirstByte: (now, head) => {
           beganAt ??= now;
+          host.recordByte(now);
           if (isEngine) {
             host.endPrefill(upstream.id, request.callerRequest.id);
           }
@@ -187,6 +218,7 @@
       silenceMs,
     );
     const now = host.now();
+    pending.delete(pendingAttempt);
     endRequest(now);
     if (isEngine && beganAt === undefined) {
       host.endPrefill(upstream.id, request.callerRequest.id);
@@ -203,6 +235,9 @@
       outcome.kind === 'silent' ||
       (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream' && !isEngine) ||
       (outcome.kind === 'notSent' && outcome.reason !== 'noConnection');
+    if (['notSent', 'lost', 'silent'].includes(outcome.kind) && isFailure) {
+      host.recordDoubt(now);
+    }
     if (isFailure && parts.health.recordFailure(now, upstream.id)) {
       host.log('upstreamSuspended', { upstream: upstream.id, cause: outcome.kind });
     }
@@ -219,7 +254,18 @@
       host.reportMissingAdapter(upstream.id, adapterKey);
     }
     return outcome;
-  };
+  }
+
+  /** Ends what waits for upstreams that this VM does not reach, so that other VMs carry it. */
+  function leaveUpstreams(): void {
+    [...pending].forEach(({ hasBegun, giveUp, endUse }) => {
+      if (giveUp) {
+        giveUp();
+      } else if (!hasBegun) {
+        endUse();
+      }
+    });
+  }
 
   /** Waits for a prefill permission of the engine, as long as the request can still be in time. */
   async function waitForPrefill(
@@ -249,4 +295,12 @@
     Object.assign(request, { prefillWaitMs: request.prefillWaitMs + host.now() - now });
     return permission;
   }
+
+  return {
+    attempt,
+    leaveUpstreams,
+    /** Returns whether a request has waited for the head of its response since `at`. */
+    hasWaited: (at: number) =>
+      [...pending].some(({ sentAt, hasBegun }) => !hasBegun && sentAt <= at),
+  };
 }
--- a/src/gateway/createGateway.ts
+++ b/src/gateway/createGateway.ts
@@ -37,6 +37,11 @@
   tryGetOrigin(now: number, request: CallerRequest, route: Route): StreamOrigin | undefined;
   /** Returns the requests a second that an upstream takes, if it states a limit. */
   tryGetLimit(upstream: Upstream): number | undefined;
+  /** Returns whether this VM reaches no upstream. */
+  isPartitioned(): boolean;
+  /** Returns the VM that is to carry a request; undefined if this VM serves it. */
+  tryGetCarrier(request: ActiveRequest, excluded: ReadonlySet<string>): string | undefined;
+  forward(request: ActiveRequest, vm: string, attempts: number): Promise<AttemptOutcome>;
   recordRequest(now: number, service: string): void;
   tryRetry(now: number, service: string): boolean;
   /** Returns a number from 0 to 1. */
@@ -64,6 +69,11 @@
       refuse(callerRequest, response, { kind: 'notReady', retryAfterMs: NOT_READY_RETRY_AFTER_MS });
       return () => {};
     }
+    if (callerRequest.forwarded && host.isPartitioned()) {
+      const retryAfterMs = getRetryAfterMs(host.random());
+      refuse(callerRequest, response, { kind: 'partitioned', retryAfterMs });
+      return () => {};
+    }
     const [path] = callerRequest.path.split('?');
     const route = tryGetRoute(manifest, callerRequest.host, path);
     if (!route) {
@@ -92,7 +102,10 @@
     const timeoutMs = Math.min(route.timeoutMs, callerRequest.deadlineMs ?? Infinity);
     const request: ActiveRequest = {
       callerRequest,
-      route,
+      route: {
+        ...route,
+        attempts: Math.min(route.attempts, callerRequest.forwarded?.attempts ?? Infinity),
+      },
       service,
       response,
       arrivedAt,
@@ -106,10 +119,14 @@
       lastByteAt: undefined,
       prefillWaitMs: 0,
       longestPauseMs: 0,
+      isBegunElsewhere: false,
       isCallerGone: false,
       abort: () => {},
+      giveUp: () => {},
     };
-    host.recordRequest(arrivedAt, service);
+    if (!callerRequest.forwarded) {
+      host.recordRequest(arrivedAt, service);
+    }
     serveAndRecord(request, manifest.version);
     return () => {
       request.isCallerGone = true;
@@ -160,6 +177,7 @@
       resumes: request.callerRequest.resumedRequest,
       resumeAfter: request.callerRequest.resumeAfter,
       sent: sentCount,
+      isForwarded: request.callerRequest.forwarded !== undefined,
       framing: request.framing,
       partialEventBytes: request.partialEventBytes,
       ms: Math.round(now - request.arrivedAt),
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -60,7 +60,7 @@
       Object.assign(request, { partialEventBytes: splitter?.getRemainder().length ?? 0 });
       cancelSilence();
       cancelDeadline();
-      Object.assign(request, { abort: () => {} });
+      Object.assign(request, { abort: () => {}, giveUp: () => {} });
       resolve(outcome);
     };
     const abortWith = (outcome: AttemptOutcome) => {
@@ -143,7 +143,8 @@
       }
       const body = Buffer.concat(bodyChunks);
       if (responseHead.isNotRun) {
-        return { kind: 'notRun', reason: responseHead.status === 421 ? 'otherUpstream' : 'full' };
+        const reason = responseHead.status === 421 ? 'otherUpstream' : 'full';
+        return { kind: 'notRun', reason, head: responseHead, body };
       }
       if (responseHead.status >= MIN_SERVER_ERROR_STATUS || request.isHeadWritten) {
         return { kind: 'failed', head: responseHead, body };
@@ -220,7 +221,10 @@
     );
     restartSilenceTimer();
     const controls = host.send(Math.max(1, Math.floor(remainingMs)), handler);
-    Object.assign(request, { abort: () => abortWith({ kind: 'callerLeft' }) });
+    Object.assign(request, {
+      abort: () => abortWith({ kind: 'callerLeft' }),
+      giveUp: () => abortWith({ kind: 'silent' }),
+    });
     if (!controls) {
       end({ kind: 'notSent', reason: 'noConnection' });
     }
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -31,6 +31,10 @@
     isImmediate: boolean,
   ): Promise<Result<Placement, Refusal>>;
   attempt(request: ActiveRequest, placement: Placement, isLast: boolean): Promise<AttemptOutcome>;
+  /** Returns the VM that is to carry the request; undefined if this VM serves it. */
+  tryGetCarrier(request: ActiveRequest, excluded: ReadonlySet<string>): string | undefined;
+  /** Has another VM carry the request to upstreams, of which at most `attempts` run it. */
+  forward(request: ActiveRequest, vm: string, attempts: number): Promise<AttemptOutcome>;
   /** Returns the trait of a request for which it is refused, and the time until that ends. */
   tryGetBlock(now: number, request: CallerRequest): { trait: string; endsInMs: number } | undefined;
   /** Takes one retry from the retry budget of the service; returns false if none is left. */
@@ -53,41 +57,40 @@
   host: ServeRequestHost,
   request: ActiveRequest,
 ): Promise<RequestOutcome> {
-  const excludedUpstreams = new Set<string>();
+  /** Upstreams, and VMs that carry requests, that are not tried again. */
+  const excluded = new Set<string>();
   let sentCount = 0;
   let unsentCount = 0;
   let notRunCount = 0;
+  /** Attempts that ended because this VM no longer reaches the upstream. */
+  let unreachableCount = 0;
   let isImmediate = false;
   const isRetryable =
     request.route.kind === 'idempotent' ||
     (request.route.kind === 'stream' && request.route.isResumable);
 
   for (;;) {
-    const placementResult = await host.place(request, excludedUpstreams, isImmediate);
+    const target = await chooseTarget();
     if (request.isCallerGone) {
       return { kind: 'callerLeft' };
     }
-    if (!placementResult.ok) {
-      return sentCount > notRunCount ? fail('noPlaceLeft') : refuse(placementResult.error);
+    if (!target.ok) {
+      return sentCount > notRunCount ? fail('noPlaceLeft') : refuse(target.error);
     }
-    const placement = placementResult.value;
+    const { id } = target.value;
 
-    const outcome = await host.attempt(
-      request,
-      placement,
-      sentCount + 1 - notRunCount >= request.route.attempts,
-    );
+    const outcome = await target.value.attempt();
     if (outcome.kind !== 'notSent') {
       sentCount += 1;
     }
-    const decision = handleOutcome(outcome, placement);
+    const decision = handleOutcome(outcome, id);
     if (decision !== 'retry') {
       return decision;
     }
     host.countRetry(outcome.kind);
     host.log('requestRetried', {
       request: request.callerRequest.id,
-      upstream: placement.upstream.id,
+      upstream: id,
       cause: outcome.kind,
       reason: 'reason' in outcome ? outcome.reason : undefined,
       sent: sentCount,
@@ -95,13 +98,43 @@
     });
   }
 
-  function handleOutcome(outcome: AttemptOutcome, placement: Placement): RequestOutcome | 'retry' {
+  /** Chooses the upstream of the next attempt, or the VM that carries the request. */
+  async function chooseTarget(): Promise<
+    Result<{ id: string; attempt: () => Promise<AttemptOutcome> }, Refusal>
+  > {
+    const carrier = host.tryGetCarrier(request, excluded);
+    if (carrier !== undefined) {
+      const attempts = Math.max(1, request.route.attempts - getRunCount());
+      return {
+        ok: true,
+        value: { id: carrier, attempt: () => host.forward(request, carrier, attempts) },
+      };
+    }
+    if (request.isBegunElsewhere) {
+      return { ok: false, error: { kind: 'notReady', retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS } };
+    }
+    const placed = await host.place(request, excluded, isImmediate);
+    if (!placed.ok) {
+      return placed;
+    }
+    const placement = placed.value;
+    const isLast = getRunCount() + 1 >= request.route.attempts;
+    return {
+      ok: true,
+      value: {
+        id: placement.upstream.id,
+        attempt: () => host.attempt(request, placement, isLast),
+      },
+    };
+  }
+
+  function handleOutcome(outcome: AttemptOutcome, targetId: string): RequestOutcome | 'retry' {
     return match<AttemptOutcome, RequestOutcome | 'retry'>(outcome)
       .with({ kind: 'done' }, ({ status }) => ({ kind: 'answered', status }))
       .with({ kind: 'callerLeft' }, () => ({ kind: 'callerLeft' }))
       .with({ kind: 'notSent', reason: 'noTurn' }, () => {
         unsentCount += 1;
-        excludedUpstreams.add(placement.upstream.id);
+        excluded.add(targetId);
         isImmediate = true;
         if (unsentCount < MAX_UNSENT_ATTEMPTS && request.prefillWaitMs < MAX_PREFILL_WAIT_MS) {
           return 'retry';
@@ -111,7 +144,7 @@
           : refuse({ kind: 'busy', retryAfterMs: getRetryAfterMs(host.random()) });
       })
       .with({ kind: 'notSent', reason: P.union('limited', 'resting') }, () => {
-        excludedUpstreams.add(placement.upstream.id);
+        excluded.add(targetId);
         return 'retry';
       })
       .with({ kind: 'notSent', reason: 'blocked' }, () => {
@@ -123,21 +156,30 @@
       .with({ kind: 'notSent' }, ({ reason }) => {
         unsentCount += 1;
         if (reason !== 'noConnection') {
-          excludedUpstreams.add(placement.upstream.id);
+          excluded.add(targetId);
         }
         const canRetry = unsentCount < MAX_UNSENT_ATTEMPTS && reason !== 'noConnection';
         return canRetry ? 'retry' : endWithoutUpstream();
       })
+      .with({ kind: 'refused' }, ({ head, body }) => {
+        notRunCount += 1;
+        if (sentCount > notRunCount || request.isHeadWritten) {
+          return fail('refusedByCarrier');
+        }
+        request.response.writeHead(head.status, head.headers);
+        request.response.end(body);
+        return { kind: 'refused', status: head.status, reason: 'carrier' };
+      })
       .with({ kind: 'notRun' }, () => {
         notRunCount += 1;
-        excludedUpstreams.add(placement.upstream.id);
+        excluded.add(targetId);
         return notRunCount < MAX_NOT_RUN_ATTEMPTS && tryTakeRetry()
           ? 'retry'
           : endWithoutUpstream();
       })
       .with({ kind: 'failed' }, ({ head, body }) => {
         if (isRetryable && hasAttemptLeft() && tryTakeRetry()) {
-          excludedUpstreams.add(placement.upstream.id);
+          excluded.add(targetId);
           return 'retry';
         }
         if (request.isHeadWritten) {
@@ -148,7 +190,8 @@
         return { kind: 'answered', status: head.status };
       })
       .with({ kind: P.union('lost', 'broken', 'silent') }, (failure) => {
-        excludedUpstreams.add(placement.upstream.id);
+        excluded.add(targetId);
+        unreachableCount += host.tryGetCarrier(request, excluded) === undefined ? 0 : 1;
         const canContinue =
           isRetryable && (!request.isHeadWritten || request.route.kind === 'stream');
         return canContinue && hasAttemptLeft() && tryTakeRetry() ? 'retry' : fail(failure.kind);
@@ -158,7 +201,12 @@
   }
 
   function hasAttemptLeft(): boolean {
-    return sentCount - notRunCount < request.route.attempts;
+    return getRunCount() < request.route.attempts;
+  }
+
+  /** Returns the attempts that count: those that upstreams within reach may have run. */
+  function getRunCount(): number {
+    return sentCount - notRunCount - unreachableCount;
   }
 
   function tryTakeRetry(): boolean {
--- a/src/gateway/writeRefusal.ts
+++ b/src/gateway/writeRefusal.ts
@@ -18,6 +18,7 @@
     .with(
       P.union(
         'notReady',
+        'partitioned',
         'noUpstream',
         'busy',
         'noAdapter',
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -296,6 +296,8 @@
   }),
   /** Carries limits of upstreams; see `src/rateLimits/LimitStatement.ts`. */
   z.object({ kind: z.literal('upstreamLimits'), statements: z.array(UpstreamLimit) }),
+  /** Announces whether the sender reaches no upstream; repeated while it does not. */
+  z.object({ kind: z.literal('reach'), isPartitioned: z.boolean() }),
   /** Requests that the receiver opens a connection to an upstream; the reply is `probed`. */
   z.object({ kind: z.literal('probeWanted'), id: z.number(), upstream: z.string() }),
   /** Reply to `probeWanted`; see `src/upstream/ProbeOutcome.ts`. */
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -80,6 +80,10 @@
       'Responses in which upstreams wanted no more requests, by what they stated.',
       ['kind'],
     ),
+    forwards: counter('forwarded_requests_total', 'Requests that other VMs carried, by outcome.', [
+      'outcome',
+    ]),
+    isPartitioned: gauge('partitioned', 'Whether this VM reaches no upstream.', []),
     limitedUpstreams: gauge(
       'limited_upstreams',
       'Upstreams that state a limit for requests of all VMs.',
--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -17,6 +17,7 @@
 import createRequest from './createRequest';
 import createTestEngine from './createTestEngine';
 import createTestDesks from './createTestDesks';
+import forwardTestRequest from './forwardTestRequest';
 import createTestPartitions from './createTestPartitions';
 import createTestKeyValue from './createTestKeyValue';
 import type KeyValueFault from './KeyValueFault';
@@ -87,7 +88,7 @@
   const events: { at: number; vm: string; name: string; fields: Record<string, unknown> }[] = [];
   const vms = new Map(addresses.map((address, index) => [address, createVm(address, index)]));
 
-  function createVm(address: string, index: number) {
+  function createVm(address: string, index: number): ReturnType<typeof createRoutedEntry> {
     const processNumber = processes.get(address) ?? 0;
     const isRunning = () => (processes.get(address) ?? 0) === processNumber;
     const log: RoutedEntryHost['log'] = (name, fields = {}) =>
@@ -147,6 +148,19 @@
               ? { kind: 'none' }
               : { kind: 'stated', ms: Number(headers.rest) },
         }),
+        forwardRequest: (vm, request, handler) =>
+          isRunning()
+            ? forwardTestRequest({ ...clock, handle: vms.get(vm)!.handle }, request, handler)
+            : undefined,
+        decodeForwardedHead: (id, status, headers) => ({
+          status,
+          headers: Object.entries(headers) as [string, string][],
+          id,
+          isNotRun: status === 503,
+          limit: { kind: 'none' },
+          isLeaving: false,
+          rest: { kind: 'none' },
+        }),
         send: (to, message) => isRunning() && send(address, to, message),
         getQueuedBytes: () => new Map(),
         redial: () => {},
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import net from 'node:net';
+import decodeCallerRequest from '../../platform/decodeCallerRequest';
 import createIngress from '../../platform/createIngress';
 import writeRefusal from '../../src/gateway/writeRefusal';
 
@@ -21,6 +22,7 @@
     handled = [];
     disconnectCount = 0;
     const ingress = createIngress({
+      decodeRequest: decodeCallerRequest,
       now: () => performance.now(),
       setTimer: (delayMs, callback) => {
         const timer = setTimeout(callback, delayMs);
--- a/test/platform/truncatedResponse.test.ts
+++ b/test/platform/truncatedResponse.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai';
 import createIngress from '../../platform/createIngress';
 import decodeResponseHead from '../../platform/decodeResponseHead';
+import decodeCallerRequest from '../../platform/decodeCallerRequest';
 import encodeCallerRequest from '../../platform/encodeCallerRequest';
 import createGateway from '../../src/gateway/createGateway';
 import sendAttempt from '../../src/gateway/sendAttempt';
@@ -226,6 +227,9 @@
           Infinity,
         );
       },
+      isPartitioned: () => false,
+      tryGetCarrier: () => undefined,
+      forward: async () => ({ kind: 'notSent', reason: 'carrier' }),
       tryGetLimit: () => undefined,
       tryGetOrigin: () => undefined,
       recordRequest: () => {},
@@ -236,6 +240,7 @@
       metrics: createMetrics(),
     });
     const { server } = createIngress({
+      decodeRequest: decodeCallerRequest,
       ...CLOCK,
       handle: (callerRequest, response) =>
         gateway.handle(performance.now(), callerRequest, response),
--- a/test/routed/createTestRequest.ts
+++ b/test/routed/createTestRequest.ts
@@ -88,8 +88,10 @@
     lastByteAt: undefined,
     prefillWaitMs: 0,
     longestPauseMs: 0,
+    isBegunElsewhere: false,
     isCallerGone: false,
     abort: () => {},
+    giveUp: () => {},
   };
   let sentCount = 0;
   let abortCount = 0;
@@ -194,6 +196,8 @@
                 Infinity,
               ),
         tryGetBlock: () => undefined,
+        tryGetCarrier: () => undefined,
+        forward: async () => ({ kind: 'notSent', reason: 'carrier' }),
         tryRetry: () => hasRetryBudget,
         countRetry: () => {},
         log: () => {},
