Owners that reach no upstream give their engines up, and callers are led to other VMs

An engine's silence towards a VM that reaches no upstream now says nothing about the engine; after 1 s such an owner writes that the engine has no holder, and a VM in reach claims it with the usual quiet time.

--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -47,6 +47,8 @@
   tryGetFence(now: number): number | undefined;
   /** Returns for how long the engine wants no requests of this VM, in milliseconds. */
   getRestMs(now: number): number;
+  /** Returns whether this VM reaches no upstream. */
+  isPartitioned(): boolean;
   getUse(now: number, key: string): { inFlight: number; lastUsedAt: number };
   getVersion(key: string): number;
   getModels(): BaseModel[];
@@ -157,7 +159,7 @@
     if (isReachabilityUncertain) {
       isReachabilityUncertain = false;
       const report = await host.getReport();
-      setReachable(report.ok || host.getRestMs(host.now()) > 0);
+      setReachable(report.ok || !isSilenceMeaningful());
     }
     if (!isStateCurrent) {
       return readState(now);
@@ -195,7 +197,7 @@
       return nextReadAt - now;
     }
     const report = await host.getReport();
-    setReachable(report.ok || host.getRestMs(host.now()) > 0);
+    setReachable(report.ok || !isSilenceMeaningful());
     if (!report.ok) {
       nextReadAt = host.now() + UNREACHABLE_RETRY_MS;
       return UNREACHABLE_RETRY_MS;
@@ -384,6 +386,11 @@
     return nextReadAt - host.now();
   }
 
+  /** Returns whether an engine that does not respond to this VM is at fault for that. */
+  function isSilenceMeaningful(): boolean {
+    return host.getRestMs(host.now()) === 0 && !host.isPartitioned();
+  }
+
   /** Publishes a change of the engine's reachability; refuses all requests when it is lost. */
   function setReachable(isNowReachable: boolean): void {
     if (isNowReachable === isReachable) {
@@ -446,6 +453,8 @@
     stop,
     announce,
     upstream,
+    /** Withdraws a report that the engine does not respond: this VM reaches no upstream. */
+    withdrawSilence: () => setReachable(true),
     /** Refuses the loads that wait, since the engine leaves. */
     refuseLoads: () => refuseAll('failed'),
   };
--- a/src/engines/createOwnedEngines.ts
+++ b/src/engines/createOwnedEngines.ts
@@ -14,6 +14,8 @@
   tryGetFence(now: number, engine: string): number | undefined;
   getVersion(key: string): number;
   getEngineService(service: string): Service['engine'];
+  /** Returns whether this VM reaches no upstream. */
+  isPartitioned(): boolean;
   /** Returns for how long an engine wants no requests of this VM, in milliseconds. */
   getRestMs(now: number, upstream: Upstream): number;
   /** Records what the head of an engine's response states. */
@@ -153,6 +155,8 @@
     reopenIfRestarted,
     tryGet: (id: string) => engines.get(id),
     getIds: () => [...engines.keys()],
+    /** Withdraws reports that engines do not respond: this VM reaches no upstream. */
+    withdrawSilences: () => engines.forEach((engine) => engine.withdrawSilence()),
     announceStates: () => engines.forEach((engine) => engine.announce()),
   };
 }
--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -22,6 +22,10 @@
 /** Generation of a key-value service that has never come back from a copy. */
 const FIRST_GENERATION = 1;
 const CLAIM_RETRY_MS = 500;
+/** An owner that reaches no upstream for this long gives its engines up. */
+const GIVE_UP_AFTER_MS = 1000;
+/** Holder in the record of an engine that its owner has given up. */
+const NO_HOLDER = '';
 /** When another VM's claim came first, its record reaches this VM's mirror within this time. */
 const REFUSED_CLAIM_RETRY_MS = 2000;
 /**
@@ -39,6 +43,10 @@
   >;
   /** Returns the time of day; only its jumps relative to the steady clock matter. */
   getTimeOfDay(): number;
+  /** Returns for how long this VM has reached no upstream, in milliseconds; 0 if it reaches any. */
+  getPartitionedMs(now: number): number;
+  /** Returns whether another VM reaches no upstream. */
+  isPeerPartitioned(now: number, vm: string): boolean;
   /** Called once this VM is recorded as the owner of an engine. */
   onAcquired(engine: string, fence: number): void;
   onLost(engine: string): void;
@@ -95,6 +103,13 @@
     if (host.members.isLeaving() || !host.members.hasLease(now)) {
       return;
     }
+    const partitionedMs = host.getPartitionedMs(now);
+    if (partitionedMs > 0) {
+      if (partitionedMs >= GIVE_UP_AFTER_MS && getCandidates(now).length > 0) {
+        [...owned.keys()].forEach(giveUp);
+      }
+      return;
+    }
     const holders = engines.map((engine) => tryGetRecord(engine)?.holder);
     engines
       .filter((engine) => !owned.has(engine))
@@ -119,7 +134,7 @@
       return false;
     }
     const isHolderRegistered = record && host.mirror.tryGet(`${MEMBER_PREFIX}${record.holder}`);
-    return !isHolderRegistered && tryGetSuccessor(engine, holders) === options.address;
+    return !isHolderRegistered && tryGetSuccessor(now, engine, holders) === options.address;
   }
 
   /**
@@ -128,18 +143,47 @@
    * of them claims.
    */
   function tryGetSuccessor(
+    now: number,
     engine: string,
     holders: readonly (string | undefined)[],
   ): string | undefined {
-    const registeredVms = host.mirror
-      .getAll(MEMBER_PREFIX)
-      .map(({ key }) => key.slice(MEMBER_PREFIX.length));
+    const registeredVms = getCandidates(now);
     const getOwnedCount = (vm: string) => holders.filter((holder) => holder === vm).length;
     const fewestOwned = Math.min(...registeredVms.map(getOwnedCount));
     const candidates = registeredVms.filter((vm) => getOwnedCount(vm) === fewestOwned);
     return rankByRendezvous(engine, candidates)[0];
   }
 
+  /** Returns the registered VMs that can reach engines. */
+  function getCandidates(now: number): string[] {
+    return host.mirror
+      .getAll(MEMBER_PREFIX)
+      .map(({ key }) => key.slice(MEMBER_PREFIX.length))
+      .filter((vm) =>
+        vm === options.address
+          ? host.getPartitionedMs(now) === 0
+          : !host.isPeerPartitioned(now, vm),
+      );
+  }
+
+  /** Ends the ownership of an engine that this VM does not reach, so that another VM can claim it. */
+  async function giveUp(engine: string): Promise<void> {
+    const { fence } = owned.get(engine)!;
+    endOwnership(engine, 'no upstream in reach');
+    const generation = host.mirror.getGeneration();
+    const record = { holder: NO_HOLDER, incarnation: '', generation };
+    const key = `${OWNER_PREFIX}${engine}`;
+    const response = await host.keyValue.transact({
+      compare: [{ key, modRevision: fence }],
+      writes: [{ kind: 'put', key, value: JSON.stringify(record) }],
+      readOnFailure: [],
+    });
+    if (!response.ok || !response.value.succeeded) {
+      const reason = response.ok ? 'condition not met' : response.error.kind;
+      host.log('ownershipRefused', { engine, reason });
+    }
+  }
+
   async function claim(engine: string): Promise<void> {
     const record = tryGetRecord(engine);
     const key = `${OWNER_PREFIX}${engine}`;
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -57,6 +57,8 @@
 /** Interval at which limits of upstreams are repeated, for VMs that missed them. */
 const LIMITS_INTERVAL_MS = 1000;
 const REACH_INTERVAL_MS = 250;
+/** Callers get the addresses of at least this part of the VMs that serve. */
+const MIN_LISTED_PART = 0.3;
 /** Interval at which departures of upstreams are repeated, for VMs that missed them. */
 const DEPARTURES_INTERVAL_MS = 1000;
 const ORIGINS_INTERVAL_MS = 50;
@@ -188,6 +190,8 @@
       ...host,
       mirror,
       members,
+      getPartitionedMs: (now) => reach.getPartitionedMs(now),
+      isPeerPartitioned: (now, vm) => reach.isPeerPartitioned(now, vm),
       onAcquired: (engine, fence) => {
         broadcaster.broadcast({ kind: 'engineClaimed', engine, fence });
         engines.open(engine);
@@ -203,6 +207,7 @@
       tryGetFence: ownerships.tryGetFence,
       getVersion,
       getEngineService: (service) => manifest?.services.get(service)?.engine,
+      isPartitioned: () => reach.isPartitioned(),
       getRestMs: readiness.getRestMs,
       observeHead: (upstream, status, headers) =>
         readiness.observe(host.now(), upstream, host.decodeHead(status, headers)),
@@ -362,7 +367,10 @@
     getUpstreams: upstreams.getAll,
     hasWaited: attempts.hasWaited,
     broadcast: broadcaster.broadcast,
-    onPartitioned: attempts.leaveUpstreams,
+    onPartitioned: () => {
+      attempts.leaveUpstreams();
+      engines.withdrawSilences();
+    },
   });
   const forwarder = createForwarder(
     {
@@ -474,7 +482,8 @@
 
   function tryGetOwner(engine: string): string | undefined {
     const value = mirror.tryGet(`/baobablink/engines/${engine}`)?.value;
-    return value === undefined ? undefined : (JSON.parse(value) as { holder: string }).holder;
+    const holder = value && (JSON.parse(value) as { holder: string }).holder;
+    return holder === '' ? undefined : holder;
   }
 
   function sendOrDeliver(to: string, message: Message): boolean {
@@ -613,12 +622,20 @@
 
   /**
    * Returns the addresses at which callers reach the VMs that serve: those in `dataCentre` if there
-   * are at least two, otherwise all.
+   * are at least two, otherwise all. VMs that reach no upstream are left out, unless the others
+   * would be too few.
    */
   function getCallerAddresses(dataCentre: string): string[] {
     const serving = new Set(members.getServing(host.now()));
     const otherServing = members.getMembers().filter((member) => serving.has(member.address));
-    const all = isReady() ? [...otherServing, options] : otherServing;
+    const ready = isReady() ? [...otherServing, options] : otherServing;
+    const now = host.now();
+    const inReach = ready.filter((vm) =>
+      'address' in vm && vm.address !== address
+        ? !reach.isPeerPartitioned(now, vm.address)
+        : !reach.isPartitioned(),
+    );
+    const all = inReach.length >= ready.length * MIN_LISTED_PART ? inReach : ready;
     const nearby = all.filter((vm) => vm.dataCentre === dataCentre);
     return (nearby.length > 1 ? nearby : all).map((vm) => vm.callerAddress);
   }
--- a/src/reach/createReach.ts
+++ b/src/reach/createReach.ts
@@ -39,6 +39,7 @@
 export default function createReach(host: ReachHost) {
   const peers = new Map<string, number>();
   let isPartitioned = false;
+  let partitionedAt = Infinity;
   let isProbing = false;
   let doubtedAt = -Infinity;
   let repeatedAt = -Infinity;
@@ -76,6 +77,7 @@
   function setPartitioned(isNowPartitioned: boolean): void {
     const now = host.now();
     isPartitioned = isNowPartitioned;
+    partitionedAt = isPartitioned ? now : Infinity;
     host.log(isPartitioned ? 'upstreamsUnreachable' : 'upstreamsReachable');
     announce(now);
     if (isPartitioned) {
@@ -118,6 +120,8 @@
     },
     refresh,
     isPartitioned: () => isPartitioned,
+    /** Returns for how long this VM has reached no upstream, in milliseconds; 0 if it reaches any. */
+    getPartitionedMs: (now: number) => Math.max(0, now - partitionedAt),
     receive: (now: number, from: string, message: { isPartitioned: boolean }) => {
       if (message.isPartitioned) {
         peers.set(from, now);
--- a/test/routed/engine.test.ts
+++ b/test/routed/engine.test.ts
@@ -316,6 +316,7 @@
       },
       tryGetFence: () => ownership.fence,
       getRestMs: (now) => Math.max(0, fake.restsUntil - now),
+      isPartitioned: () => false,
       getUse: (now, key) => ({
         inFlight: inUse.has(key) ? 1 : 0,
         lastUsedAt: inUse.has(key) ? now : -Infinity,
--- a/test/routed/lateLoads.test.ts
+++ b/test/routed/lateLoads.test.ts
@@ -111,6 +111,7 @@
       },
       tryGetFence: () => 1,
       getRestMs: () => 0,
+      isPartitioned: () => false,
       observeHead: () => {},
       getVersion: () => 1,
       getEngineService: () => SERVICE,
--- a/test/routed/ownerships.test.ts
+++ b/test/routed/ownerships.test.ts
@@ -32,6 +32,36 @@
     expect(fixture.clock.now() - diedAt).to.be.greaterThan(LEASE_MS);
   });
 
+  it('passes to a VM in reach of upstreams after its owner has lost them, after a quiet time', async () => {
+    const fixture = createTestVms(3);
+    await fixture.run(4000);
+    const [owner] = fixture.getOwners('e1');
+    const partitioned = [owner, [...fixture.vms.keys()].find((vm) => vm !== owner)!];
+    const since = fixture.clock.now();
+    partitioned.forEach((vm) => {
+      fixture.vms.get(vm)!.partitionedAt = since;
+    });
+    await fixture.run(2000);
+    expect(
+      ENGINES.flatMap(fixture.getOwners).filter((vm) => partitioned.includes(vm)),
+    ).to.deep.equal([]);
+    expect(fixture.getOwners('e1')).to.deep.equal([]);
+    await fixture.run(LEASE_MS);
+    ENGINES.forEach((engine) => {
+      expect(fixture.getOwners(engine)).to.have.length(1);
+      expect(partitioned).not.to.include(fixture.getOwners(engine)[0]);
+    });
+  });
+
+  it('stays where it is if no VM reaches an upstream', async () => {
+    const fixture = createTestVms(2);
+    await fixture.run(4000);
+    const before = ENGINES.map((engine) => fixture.getOwners(engine));
+    fixture.vms.forEach((vm) => Object.assign(vm, { partitionedAt: fixture.clock.now() }));
+    await fixture.run(4000);
+    expect(ENGINES.map((engine) => fixture.getOwners(engine))).to.deep.equal(before);
+  });
+
   it('has a higher fencing number with each new owner', async () => {
     const fixture = createTestVms(3);
     await fixture.run(4000);
@@ -189,6 +219,8 @@
   frozenMirror: Map<string, { key: string; revision: number; value: string }> | undefined;
   frozenGeneration: number | undefined;
   suspendedMs: number;
+  /** When the VM lost its reach of upstreams; Infinity while it has it. */
+  partitionedAt: number;
   ownerships: ReturnType<typeof createOwnerships>;
 }
 
@@ -226,6 +258,7 @@
       frozenMirror: undefined,
       frozenGeneration: undefined,
       suspendedMs: 0,
+      partitionedAt: Infinity,
     };
     const ownerships = createOwnerships(
       {
@@ -246,6 +279,8 @@
           isLeaving: () => false,
         },
         getTimeOfDay: () => clock.now() + vm.suspendedMs,
+        getPartitionedMs: (now) => Math.max(0, now - vm.partitionedAt),
+        isPeerPartitioned: (now, name) => now > vms.get(name)!.partitionedAt,
         onAcquired: () => {},
         onLost: () => {},
         log: () => {},
