A carried request uses up the attempts that its carrier got

The VM that forwards a request counted it as one attempt, while the carrier may have run it at as many upstreams as were left: a failure that came back was carried once more, and what waited at the moment of a partition was not counted at all. The attempts given to a carrier are now used up unless it says that the request has not run.

--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -62,8 +62,8 @@
   let sentCount = 0;
   let unsentCount = 0;
   let notRunCount = 0;
-  /** Attempts that ended because this VM no longer reaches the upstream. */
-  let unreachableCount = 0;
+  /** Upstreams that may have run the request; a VM that carries it may have used all that it may. */
+  let runCount = 0;
   let isImmediate = false;
   const isRetryable =
     request.route.kind === 'idempotent' ||
@@ -75,7 +75,7 @@
       return { kind: 'callerLeft' };
     }
     if (!target.ok) {
-      return sentCount > notRunCount ? fail('noPlaceLeft') : refuse(target.error);
+      return runCount > 0 ? fail('noPlaceLeft') : refuse(target.error);
     }
     const { id } = target.value;
 
@@ -83,6 +83,9 @@
     if (outcome.kind !== 'notSent') {
       sentCount += 1;
     }
+    if (!['notSent', 'notRun', 'refused'].includes(outcome.kind)) {
+      runCount += target.value.attempts;
+    }
     const decision = handleOutcome(outcome, id);
     if (decision !== 'retry') {
       return decision;
@@ -100,14 +103,18 @@
 
   /** Chooses the upstream of the next attempt, or the VM that carries the request. */
   async function chooseTarget(): Promise<
-    Result<{ id: string; attempt: () => Promise<AttemptOutcome> }, Refusal>
+    Result<{ id: string; attempts: number; attempt: () => Promise<AttemptOutcome> }, Refusal>
   > {
     const carrier = host.tryGetCarrier(request, excluded);
     if (carrier !== undefined) {
-      const attempts = Math.max(1, request.route.attempts - getRunCount());
+      const attempts = Math.max(1, request.route.attempts - runCount);
       return {
         ok: true,
-        value: { id: carrier, attempt: () => host.forward(request, carrier, attempts) },
+        value: {
+          id: carrier,
+          attempts,
+          attempt: () => host.forward(request, carrier, attempts),
+        },
       };
     }
     if (request.isBegunElsewhere) {
@@ -118,11 +125,12 @@
       return placed;
     }
     const placement = placed.value;
-    const isLast = getRunCount() + 1 >= request.route.attempts;
+    const isLast = runCount + 1 >= request.route.attempts;
     return {
       ok: true,
       value: {
         id: placement.upstream.id,
+        attempts: 1,
         attempt: () => host.attempt(request, placement, isLast),
       },
     };
@@ -139,7 +147,7 @@
         if (unsentCount < MAX_UNSENT_ATTEMPTS && request.prefillWaitMs < MAX_PREFILL_WAIT_MS) {
           return 'retry';
         }
-        return sentCount > notRunCount
+        return runCount > 0
           ? fail('busy')
           : refuse({ kind: 'busy', retryAfterMs: getRetryAfterMs(host.random()) });
       })
@@ -149,7 +157,7 @@
       })
       .with({ kind: 'notSent', reason: 'blocked' }, () => {
         const block = host.tryGetBlock(host.now(), request.callerRequest);
-        return sentCount > notRunCount || !block
+        return runCount > 0 || !block
           ? fail('blocked')
           : refuse({ kind: 'blocked', trait: block.trait, retryAfterMs: block.endsInMs });
       })
@@ -163,7 +171,7 @@
       })
       .with({ kind: 'refused' }, ({ head, body }) => {
         notRunCount += 1;
-        if (sentCount > notRunCount || request.isHeadWritten) {
+        if (runCount > 0 || request.isHeadWritten) {
           return fail('refusedByCarrier');
         }
         request.response.writeHead(head.status, head.headers);
@@ -191,7 +199,6 @@
       })
       .with({ kind: P.union('lost', 'broken', 'silent') }, (failure) => {
         excluded.add(targetId);
-        unreachableCount += host.tryGetCarrier(request, excluded) === undefined ? 0 : 1;
         const canContinue =
           isRetryable && (!request.isHeadWritten || request.route.kind === 'stream');
         return canContinue && hasAttemptLeft() && tryTakeRetry() ? 'retry' : fail(failure.kind);
@@ -201,12 +208,7 @@
   }
 
   function hasAttemptLeft(): boolean {
-    return getRunCount() < request.route.attempts;
-  }
-
-  /** Returns the attempts that count: those that upstreams within reach may have run. */
-  function getRunCount(): number {
-    return sentCount - notRunCount - unreachableCount;
+    return runCount < request.route.attempts;
   }
 
   function tryTakeRetry(): boolean {
@@ -218,7 +220,7 @@
    * upstream may have run it.
    */
   function endWithoutUpstream(): RequestOutcome {
-    return sentCount > notRunCount
+    return runCount > 0
       ? fail('noUpstream')
       : refuse({ kind: 'noUpstream', retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS });
   }
--- a/test/routed/createTestRequest.ts
+++ b/test/routed/createTestRequest.ts
@@ -15,6 +15,8 @@
   overrides: Partial<Route>,
   behaviors: UpstreamBehavior[],
   hasRetryBudget = true,
+  /** Outcomes of the attempts that other VMs carry; undefined where this VM makes the attempt. */
+  carried: (AttemptOutcome | undefined)[] = [],
 ) {
   const clock = createVirtualClock();
   const route: Route = {
@@ -96,6 +98,8 @@
   let sentCount = 0;
   let abortCount = 0;
   let attemptCount = 0;
+  let targetCount = 0;
+  const forwards: { vm: string; attempts: number }[] = [];
   const placements: { excluded: string[]; isImmediate: boolean }[] = [];
 
   function denyPrefill(): AttemptOutcome {
@@ -196,8 +200,15 @@
                 Infinity,
               ),
         tryGetBlock: () => undefined,
-        tryGetCarrier: () => undefined,
-        forward: async () => ({ kind: 'notSent', reason: 'carrier' }),
+        tryGetCarrier: () => {
+          const outcome = carried[targetCount];
+          targetCount += 1;
+          return outcome && `vm${forwards.length + 1}`;
+        },
+        forward: async (_, vm, attempts) => {
+          forwards.push({ vm, attempts });
+          return carried[targetCount - 1]!;
+        },
         tryRetry: () => hasRetryBudget,
         countRetry: () => {},
         log: () => {},
@@ -213,6 +224,7 @@
     run,
     response: writtenResponse,
     placements,
+    forwards,
     getSentCount: () => sentCount,
     getAbortCount: () => abortCount,
     disconnectCaller: () => {
