--- a/src/gateway/ResponseHead.ts
+++ b/src/gateway/ResponseHead.ts
@@ -14,6 +14,8 @@
   /** Whether the upstream states that it leaves. */
   isLeaving: boolean;
   rest: StatedRest;
+  /** Whether the upstream states that it ends if it has to turn many requests away. */
+  isBrittle: boolean;
 }
 
 export default ResponseHead;
--- a/test/fleet/createTestDesks.ts
+++ b/test/fleet/createTestDesks.ts
@@ -46,6 +46,9 @@
   const leaving = new Set<Upstream>();
   /** Time until which a desk turns requests away, and the rest that it states, in milliseconds. */
   const rests = new Map<Upstream, { until: number; statedMs: number }>();
+  /** Requests that brittle desks let wait, and that they turn away in a second before they fall over. */
+  let brittleness: { waiting: number; maxTurnedAway: number } | undefined;
+  const falls: { at: number; upstream: string }[] = [];
   const turnedAway: { at: number; vm: string; upstream: string }[] = [];
   const arrivals: { at: number; vm: string; upstream: string; path: string }[] = [];
   const crashes: { at: number; upstream: string; path: string | undefined }[] = [];
@@ -83,6 +86,22 @@
         handler.onEnd();
         return;
       }
+      if (brittleness) {
+        notices.brittle = String(brittleness.maxTurnedAway);
+        if (running.size >= desk.slots + brittleness.waiting) {
+          handler.onHead(503, notices);
+          handler.onEnd();
+          turnedAway.push({ at: host.now(), vm, upstream: desk.id });
+          const recent = turnedAway.filter(
+            ({ upstream: id, at }) => id === desk.id && at > host.now() - 1000,
+          );
+          if (recent.length > brittleness.maxTurnedAway) {
+            falls.push({ at: host.now(), upstream: desk.id });
+            crash(desk.id);
+          }
+          return;
+        }
+      }
       running.add(call);
       if (host.isCrashing(path)) {
         setTimer(CRASH_MS, () => crash(desk.id, path));
@@ -110,7 +129,7 @@
       setTimer(SERVICE_MS, () => {
         end();
         const limit = limits.get(desk.id);
-        const stated = leaving.has(desk) ? { leaving: '1' } : notices;
+        const stated = leaving.has(desk) ? { ...notices, leaving: '1' } : notices;
         handler.onHead(200, limit === undefined ? stated : { ...stated, limit: String(limit) });
         handler.onData(Buffer.from('done'));
         handler.onEnd();
@@ -216,6 +235,14 @@
     register,
     arrivals,
     turnedAway,
+    falls,
+    setBrittle: (stated: typeof brittleness, slots?: number) => {
+      brittleness = stated;
+      desks.forEach((desk) => {
+        desk.slots = slots ?? desk.slots;
+        host.register(desk.id, desk);
+      });
+    },
     crashes,
   };
 }
--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -143,6 +143,7 @@
               ? { kind: 'none' }
               : { kind: 'stated', perSecond: Number(headers.limit) },
           isLeaving: headers.leaving === '1',
+          isBrittle: headers.brittle !== undefined,
           rest:
             headers.rest === undefined
               ? { kind: 'none' }
@@ -159,6 +160,7 @@
           isNotRun: status === 503,
           limit: { kind: 'none' },
           isLeaving: false,
+          isBrittle: false,
           rest: { kind: 'none' },
         }),
         send: (to, message) => isRunning() && send(address, to, message),
--- a/test/platform/endlessResponse.test.ts
+++ b/test/platform/endlessResponse.test.ts
@@ -147,6 +147,7 @@
         isNotRun: false,
         limit: { kind: 'none' },
         isLeaving: false,
+        isBrittle: false,
         rest: { kind: 'none' },
       }),
       onHead: () => {},
--- a/test/routed/createTestRequest.ts
+++ b/test/routed/createTestRequest.ts
@@ -190,6 +190,7 @@
                     isNotRun: headers.ran === 'no',
                     limit: { kind: 'none' },
                     isLeaving: false,
+                    isBrittle: false,
                     rest: { kind: 'none' },
                   }),
                   onHead: () => {},
--- a/test/routed/forwarding.test.ts
+++ b/test/routed/forwarding.test.ts
@@ -11,6 +11,7 @@
   isNotRun: false,
   limit: { kind: 'none' },
   isLeaving: false,
+  isBrittle: false,
   rest: { kind: 'none' },
 };
 const FAILED: AttemptOutcome = { kind: 'failed', head: HEAD, body: Buffer.from('no') };
