LIMIT: brittle upstreams get no more requests than they have places

Callers' requests beyond an upstream's places were turned away there, by all VMs at once, and the upstream fell over, with all that it ran. While a service states Server-Brittle, which VMs tell each other, a request to it needs a place, which one VM gives out for each upstream (the issuer of its permits) and gets back as the request ends. A request that is turned away all the same closes the upstream for 0.5 s and takes one place away for a while. Without a place, callers are refused at once. In-flight counts would not do: they are 250 ms old, and 61 VMs would each send one. A VM counts no crash of a request's making while its upstream is brittle.

--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -31,6 +31,9 @@
 import createBroadcaster from '../broadcast/createBroadcaster';
 import createCrashDetector from '../quarantine/createCrashDetector';
 import createCrashGuard from '../quarantine/createCrashGuard';
+import createBrittleServices from '../places/createBrittleServices';
+import createPlaceIssuer from '../places/createPlaceIssuer';
+import createPlaces from '../places/createPlaces';
 import createReadiness from '../readiness/createReadiness';
 import createForwarder from '../forwarding/createForwarder';
 import createReach from '../reach/createReach';
@@ -162,10 +165,23 @@
       health.remove(id);
       usage.remove(id);
       rateLimiting.remove(id);
+      places.remove(id);
       prefill.remove(id);
       engines.close(id);
     },
   });
+  const brittleServices = createBrittleServices({ ...host, broadcast: broadcaster.broadcast });
+  const places = createPlaces(
+    { ...host, tryGetIssuer: rateLimiting.tryGetIssuer },
+    {
+      brittleServices,
+      issuer: createPlaceIssuer({
+        tryGetUpstream: upstreams.tryGet,
+        getInFlight: usage.getInFlight,
+      }),
+    },
+    { address },
+  );
   const readiness = createReadiness(
     {
       ...host,
@@ -183,7 +199,7 @@
         }),
       countNotice: (kind) => metrics.readinessNotices.inc({ kind }),
     },
-    { upstreams, rateLimiting, health, engineStates },
+    { upstreams, rateLimiting, places, health, engineStates },
   );
   const ownerships = createOwnerships(
     {
@@ -341,7 +357,10 @@
       recordStreamBegin: streamOrigins.recordBegin,
       recordServed: crashGuard.recordServed,
       recordBegun: crashGuard.recordBegun,
-      observeReadiness: readiness.observe,
+      observeReadiness: (now, upstream, head) => {
+        readiness.observe(now, upstream, head);
+        brittleServices.observe(now, upstream, head);
+      },
       recordByte: (now) => reach.recordByte(now),
       recordDoubt: (now) => reach.recordDoubt(now),
       getService: (name) => manifest?.services.get(name),
@@ -360,7 +379,7 @@
         }
       },
     },
-    { readiness, usage, health, prefillClient, rateLimiting, crashDetector },
+    { readiness, usage, health, prefillClient, rateLimiting, places, crashDetector },
   );
   const reach = createReach({
     ...host,
@@ -570,6 +589,10 @@
         readiness.receiveDepartures(now, from, announced.upstreams),
       )
       .with({ kind: 'upstreamRested' }, (rested) => readiness.receiveRest(now, rested))
+      .with({ kind: 'serviceBrittle' }, ({ service }) => brittleServices.receive(now, service))
+      .with({ kind: 'placeWanted' }, (wanted) => places.handleRequest(from, wanted))
+      .with({ kind: 'place' }, (reply) => places.handleReply(from, reply))
+      .with({ kind: 'placeEnded' }, (ended) => places.handleEnd(from, ended))
       .with({ kind: 'reach' }, (stated) => reach.receive(now, from, stated))
       .with({ kind: 'probeWanted' }, (wanted) => witnesses.handleRequest(from, wanted))
       .with({ kind: 'probed' }, ({ id, outcome }) => witnesses.handleReply(id, outcome))
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -76,6 +76,11 @@
     'warn',
     'A response states a time to stay away that could not be decoded.',
   ),
+  serviceBrittle: e(
+    244,
+    'warn',
+    'The upstreams of a service state that they end if they turn many requests away, or no longer do.',
+  ),
   traitBlocked: e(250, 'warn', 'Requests with a trait that crashes upstreams are refused.'),
   traitUnblocked: e(251, 'info', 'Requests with a trait are no longer refused.'),
   blockUnreadable: e(252, 'warn', 'The record of a block could not be decoded.'),
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -3,6 +3,7 @@
 import type Service from '../manifest/Service';
 import type Clock from '../shared/Clock';
 import type createCrashDetector from '../quarantine/createCrashDetector';
+import type Places from '../places/Places';
 import type Readiness from '../readiness/Readiness';
 import type RateLimiting from '../rateLimits/RateLimiting';
 import type createPrefillClient from '../prefill/createPrefillClient';
@@ -89,6 +90,7 @@
     health: UpstreamHealth;
     prefillClient: ReturnType<typeof createPrefillClient>;
     rateLimiting: Pick<RateLimiting, 'isLimited' | 'acquire' | 'observe'>;
+    places: Pick<Places, 'isNeeded' | 'take'>;
     crashDetector: Pick<ReturnType<typeof createCrashDetector>, 'checkUpstream'>;
   },
 ) {
@@ -115,8 +117,10 @@
       isRetryable && !isLast
         ? Math.max(MIN_SILENCE_MS, SILENCE_OBJECTIVES * request.route.latencyObjectiveMs)
         : Infinity;
+    let giveBack: ((isTurnedAway: boolean) => void) | undefined;
     /** Ends the attempt before a byte is sent. */
     const endUnsent = (outcome: AttemptOutcome) => {
+      giveBack?.(false);
       endRequest(host.now());
       if (isEngine) {
         host.endPrefill(upstream.id, request.callerRequest.id);
@@ -144,6 +148,17 @@
         return endUnsent({ kind: 'notSent', reason: 'limited' });
       }
     }
+    if (parts.places.isNeeded(host.now(), upstream)) {
+      const wantedAt = host.now();
+      giveBack = await parts.places.take(upstream, Math.max(0, request.deadlineAt - wantedAt));
+      permitWaitMs += host.now() - wantedAt;
+      if (request.isCallerGone) {
+        return endUnsent({ kind: 'callerLeft' });
+      }
+      if (!giveBack) {
+        return endUnsent({ kind: 'notSent', reason: 'limited' });
+      }
+    }
     // The upstream may have become unready while the request waited.
     if (parts.readiness.has(host.now(), upstream, 'leaving')) {
       return endUnsent({ kind: 'notSent', reason: 'upstreamLeft' });
@@ -219,6 +234,7 @@
     );
     const now = host.now();
     pending.delete(pendingAttempt);
+    giveBack?.(outcome.kind === 'notRun' && outcome.reason === 'full');
     endRequest(now);
     if (isEngine && beganAt === undefined) {
       host.endPrefill(upstream.id, request.callerRequest.id);
@@ -247,7 +263,10 @@
       host.recordServed(now, request.callerRequest);
     } else if (lastedMs >= MIN_BEGUN_MS) {
       host.recordBegun(now, request.callerRequest);
-    } else if (outcome.kind === 'lost' || outcome.kind === 'broken') {
+    } else if (
+      (outcome.kind === 'lost' || outcome.kind === 'broken') &&
+      !parts.places.isNeeded(now, upstream)
+    ) {
       parts.crashDetector.checkUpstream(upstream, request.callerRequest, sentAt);
     }
     if (outcome.kind === 'notRun' && outcome.reason === 'otherUpstream' && isEngine) {
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -296,6 +296,29 @@
   }),
   /** Carries limits of upstreams; see `src/rateLimits/LimitStatement.ts`. */
   z.object({ kind: z.literal('upstreamLimits'), statements: z.array(UpstreamLimit) }),
+  /** Announces that upstreams of a service end if they have to turn many requests away. */
+  z.object({ kind: z.literal('serviceBrittle'), service: z.string() }),
+  /** Requests a place at an upstream for at most `holdMs`; the reply is `place`. */
+  z.object({
+    kind: z.literal('placeWanted'),
+    upstream: z.string(),
+    id: z.number(),
+    holdMs: z.number(),
+  }),
+  /** Reply to `placeWanted`. */
+  z.object({
+    kind: z.literal('place'),
+    upstream: z.string(),
+    id: z.number(),
+    isGranted: z.boolean(),
+  }),
+  /** Gives a place back; `isTurnedAway`: the upstream had no room for the request. */
+  z.object({
+    kind: z.literal('placeEnded'),
+    upstream: z.string(),
+    id: z.number(),
+    isTurnedAway: z.boolean(),
+  }),
   /** Announces whether the sender reaches no upstream; repeated while it does not. */
   z.object({ kind: z.literal('reach'), isPartitioned: z.boolean() }),
   /** Requests that the receiver opens a connection to an upstream; the reply is `probed`. */
--- a/src/rateLimits/createRateLimiting.ts
+++ b/src/rateLimits/createRateLimiting.ts
@@ -57,6 +57,7 @@
   return {
     ...permits,
     isIssuer,
+    tryGetIssuer,
     tryGet: rateLimits.tryGet,
     observe: rateLimits.observe,
     receive: rateLimits.receive,
--- a/src/readiness/createReadiness.ts
+++ b/src/readiness/createReadiness.ts
@@ -2,6 +2,7 @@
 import type Log from '../events/Log';
 import type ResponseHead from '../gateway/ResponseHead';
 import type Message from '../mesh/Message';
+import type Places from '../places/Places';
 import type RateLimiting from '../rateLimits/RateLimiting';
 import type Upstream from '../upstream/Upstream';
 import type UpstreamHealth from '../upstream/UpstreamHealth';
@@ -27,6 +28,7 @@
   parts: {
     upstreams: Pick<Upstreams, 'tryGet'>;
     rateLimiting: Pick<RateLimiting, 'isClosed'>;
+    places: Pick<Places, 'tryGetObstacle'>;
     health: Pick<UpstreamHealth, 'isSuspended' | 'recordRefusalElsewhere'>;
     engineStates: Pick<EngineStates, 'isUnreachable'>;
   },
@@ -45,6 +47,7 @@
     departures.tryGetObstacle,
     (_, { id }) => (parts.upstreams.tryGet(id) ? undefined : { kind: 'leaving', isBinding: true }),
     rests.tryGetObstacle,
+    parts.places.tryGetObstacle,
     (now, upstream) =>
       parts.rateLimiting.isClosed(now, upstream) ? { kind: 'limited', isBinding: true } : undefined,
     (now, { id }) =>
