--- a/src/gateway/createGateway.ts
+++ b/src/gateway/createGateway.ts
@@ -140,7 +140,7 @@
     host.metrics.requests.inc({ kind: request.route.kind });
     let lastUpstream: Upstream | undefined;
     let sentCount = 0;
-    const outcome = await serveRequest(
+    const served = serveRequest(
       {
         ...host,
         attempt: (attemptedRequest, placement, isLast) => {
@@ -152,6 +152,11 @@
       },
       request,
     );
+    const outcome = await served.catch((error: Error): Awaited<typeof served> => {
+      host.log('unexpected', { request: request.callerRequest.id, error: error.stack });
+      request.response.abort();
+      return { kind: 'cut', reason: 'unexpected' };
+    });
     inFlight -= 1;
     host.metrics.inFlight.set(inFlight);
     const now = host.now();
--- a/src/upstream/createConnections.ts
+++ b/src/upstream/createConnections.ts
@@ -60,8 +60,14 @@
   ): Controls | undefined {
     const group = groups.get(address) ?? { idle: [], openCount: 0 };
     groups.set(address, group);
-    const connection = tryTakeIdle(group) ?? openConnection(address, group, maxConnections);
-    return connection && dispatchRequest(connection, group, message, handler);
+    try {
+      const connection = tryTakeIdle(group) ?? openConnection(address, group, maxConnections);
+      return connection && dispatchRequest(connection, group, message, handler);
+    } catch (error) {
+      // No connection can be opened to an address that is none.
+      handler.onError({ kind: 'notSent', reason: (error as Error).message });
+      return { abort: () => {}, pause: () => {}, resume: () => {} };
+    }
   }
 
   function openConnection(
@@ -72,8 +78,6 @@
     if (group.openCount >= maxConnections) {
       return undefined;
     }
-    group.openCount += 1;
-    onOpened();
     const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     const client = new Client(`http://${address}`, {
       pipelining: 1,
@@ -99,6 +103,8 @@
       isReused: false,
       headEndsBefore: Infinity,
     };
+    group.openCount += 1;
+    onOpened();
     client.on('disconnect', () => dropConnection(connection, group));
     return connection;
   }
--- a/src/upstream/probeAddress.ts
+++ b/src/upstream/probeAddress.ts
@@ -7,7 +7,7 @@
 export default function probeAddress(address: string): Promise<ProbeOutcome> {
   const [host, port] = address.split(':');
   return new Promise((resolve) => {
-    const socket = net.connect({ host, port: Number(port), timeout: CONNECT_TIMEOUT_MS });
+    const socket = new net.Socket();
     const end = (outcome: ProbeOutcome) => {
       socket.destroy();
       resolve(outcome);
@@ -17,5 +17,12 @@
     socket.once('error', (error: Error & { code?: string }) =>
       end(error.code === 'ECONNREFUSED' ? 'refused' : 'silent'),
     );
+    try {
+      socket.setTimeout(CONNECT_TIMEOUT_MS);
+      socket.connect({ host, port: Number(port) });
+    } catch {
+      // The port is out of range.
+      end('silent');
+    }
   });
 }
