--- a/scripts/lab.ts
+++ b/scripts/lab.ts
@@ -9,6 +9,8 @@
 import createRandom from '../bench/createRandom';
 import createCallers from './platform/createCallers';
 import getNoticeViolations from './platform/getNoticeViolations';
+import getPartitionShares from './platform/getPartitionShares';
+import type PartitionMode from './platform/PartitionMode';
 import getLimitUses from './platform/getLimitUses';
 import createPlatformTrial from './platform/createPlatformTrial';
 import writePlot from './writePlot';
@@ -36,6 +38,8 @@
   --leaving N          servers of each service that state that they leave (default: 0)
   --resting N          further servers of each service that want no requests (default: 0)
   --rest-seconds N     time for which they want none (default: 4)
+  --partitioned N      VMs that reach no server during a round (default: 0)
+  --partition MODE     hang, reset or refused (default: hang)
   --json               figures as JSON instead of a table
   --plot FILE          latencies by kind and build as SVG`,
   {
@@ -58,6 +62,8 @@
       leaving: { type: 'number', default: 0 },
       resting: { type: 'number', default: 0 },
       restSeconds: { type: 'number', default: 4 },
+      partitioned: { type: 'number', default: 0 },
+      partition: { type: 'string', choices: ['hang', 'reset', 'refused'], default: 'hang' },
       json: { type: 'boolean', default: false },
       plot: { type: 'string' },
     },
@@ -100,6 +106,7 @@
     random: createRandom(flags.seed + round),
     adapters: flags.adapters,
     pauseMs: 1000 / flags.perSecond,
+    sendsToAll: flags.partitioned > 0,
     crashingShare: flags.crashingShare,
     crashingRequestShare: flags.repeatedShare,
   });
@@ -113,6 +120,11 @@
     await trial.post('limits', Object.fromEntries(limits));
   }
   setTimeout(() => stateNotices(trial), WARM_UP_MS);
+  const partitioned = trial.vms.slice(0, flags.partitioned);
+  setTimeout(
+    () => partitioned.forEach((vm) => trial.setPartition(vm, flags.partition as PartitionMode)),
+    WARM_UP_MS,
+  );
   const startedAt = Date.now();
   const callersRun = callers.run();
   await new Promise((resolve) => {
@@ -120,6 +132,19 @@
   });
   await callers.stop();
   await callersRun;
+  if (partitioned.length > 0) {
+    const shares = getPartitionShares(callers.getResults(), {
+      vms: partitioned.map((vm) => trial.getAddress(vm, 8080)),
+      from: startedAt + WARM_UP_MS,
+      to: startedAt + WARM_UP_MS + flags.seconds * 1000,
+    });
+    process.stderr.write(
+      `served at partitioned VMs: ${shares.there}, at the others: ${shares.elsewhere}\n`,
+    );
+    if (!shares.isAllowed) {
+      violations.push(`partitioned VMs served ${shares.there}, the others ${shares.elsewhere}`);
+    }
+  }
   const record = await trial.getExecutionRecord();
   await trial.stop();
   violations.push(...callers.getViolations(record), ...record.faults.map(({ text }) => text));
--- a/scripts/platform/createCallers.ts
+++ b/scripts/platform/createCallers.ts
@@ -61,6 +61,8 @@
     random: () => number;
     adapters: number;
     pauseMs: number;
+    /** Whether all VMs get requests, and not only those that the directory lists (default: no). */
+    sendsToAll?: boolean;
     /** Part of the `chat` requests whose prompt crashes model servers (default: none). */
     crashingShare?: number;
     /** Part of the `chat` and `look` requests that come again and crash servers (default: none). */
@@ -78,6 +80,10 @@
   const pending = new Set<Promise<void>>();
 
   async function resolveAddresses(): Promise<void> {
+    if (options.sendsToAll) {
+      addresses = trial.vms.map((vm) => trial.getAddress(vm, 8080));
+      return;
+    }
     for (const vm of trial.vms) {
       try {
         const url = `http://${trial.getAddress(vm, 8083)}/api/resolve?Name=trial.example&Zone=x`;
--- a/scripts/platform/createFaults.ts
+++ b/scripts/platform/createFaults.ts
@@ -1,12 +1,14 @@
 import type RelayMode from '../../standins/RelayMode';
 import type ServerFault from '../../standins/platform/ServerFault';
 import type KeyValueFault from '../../standins/platform/KeyValueFault';
+import type PartitionMode from './PartitionMode';
 import type createCallers from './createCallers';
 import type createPlatformTrial from './createPlatformTrial';
 
 const KEY_VALUE_FAULTS: readonly KeyValueFault[] = ['down', 'silent', 'slow', 'lost', 'late'];
 const SERVER_FAULTS: readonly ServerFault[] = ['loseAnswers', 'errors', 'silentOrders', 'unframed'];
 const RELAY_MODES: readonly RelayMode[] = ['cut', 'silent', 'noAnswers', 'slow'];
+const PARTITION_MODES: readonly PartitionMode[] = ['hang', 'reset', 'refused'];
 const SOFTWARE_VERSIONS = ['v1', 'v1.1', 'v2'];
 /** Part of the draws of the fault that kills all VMs; it comes once in a run at most. */
 const KILL_ALL_SHARE = 0.5;
@@ -101,6 +103,14 @@
       options.log('the key-value service compacts its history');
       return trial.post('forget', {});
     },
+    partition: () =>
+      withFaultyVm(async (vm) => {
+        const mode = pickRandom(PARTITION_MODES);
+        options.log(`${vm} is partitioned from all servers: ${mode}`);
+        trial.setPartition(vm, mode);
+        await waitFaultDuration();
+        trial.setPartition(vm, 'open');
+      }),
     cutServer: async () => {
       const { id } = pickRandom(trial.servers);
       const mode = pickRandom(RELAY_MODES);
--- a/scripts/platform/createPlatformTrial.ts
+++ b/scripts/platform/createPlatformTrial.ts
@@ -7,6 +7,7 @@
 import createRelay from '../../standins/createRelay';
 import type Layout from '../../standins/platform/Layout';
 import type ExecutionRecord from '../../standins/platform/ExecutionRecord';
+import type PartitionMode from './PartitionMode';
 import waitFor from '../waitFor';
 
 const CLUSTER_KEY = 'trial-cluster-key-0001';
@@ -16,6 +17,7 @@
 const PLAIN_SERVER_COUNT = 2;
 const DATA_CENTRES = ['x', 'y', 'z'];
 const GRACE_S = 4;
+const PARTITION_SCRIPT = './scripts/platform/partitionConnections.mjs';
 /** The platform lists at most three VMs as seeds. */
 const MAX_SEEDS = 3;
 
@@ -125,12 +127,24 @@
     const file = path.join(folder, `${name}.toml`);
 
     writeFileSync(file, getSettings(name, getStoreAddress(index)));
-    spawnChild(name, [options.bundle ?? 'target/baobablink.cjs', 'serve-platform'], {
+    const bundle = options.bundle ?? 'target/baobablink.cjs';
+    spawnChild(name, ['--import', PARTITION_SCRIPT, bundle, 'serve-platform'], {
+      TRIAL_PARTITION_FILE: getPartitionFile(name),
+      TRIAL_SERVER_PREFIX: `127.${network}.3.`,
       BAOBABLINK_SETTINGS_FILE: file,
       BAOBABLINK_CLUSTER_KEY: CLUSTER_KEY,
     });
   }
 
+  function getPartitionFile(name: string): string {
+    return path.join(folder, `${name}.partition`);
+  }
+
+  /** Partitions a VM from all servers, or ends that. */
+  function setPartition(name: string, mode: PartitionMode): void {
+    writeFileSync(getPartitionFile(name), mode);
+  }
+
   function getSettings(name: string, storeAddress: string): string {
     const [ip] = getAddress(name, 0).split(':');
     return [
@@ -267,6 +281,7 @@
     stop,
     startVm,
     changeSettings,
+    setPartition,
     endProcess,
     waitUntilReady,
     setManifest,
