A VM with few requests finds a partition before the next one comes

A VM noticed a partition by a request that waits or fails, so that with few requests the first ones after 3 s hung. A VM in use that has received nothing from any upstream for 1.5 s now opens a connection to one.

--- a/src/reach/createReach.ts
+++ b/src/reach/createReach.ts
@@ -13,6 +13,9 @@
 const DOUBT_INTERVAL_MS = 500;
 /** Time without a byte of any upstream, while requests wait for one, that raises a doubt. */
 const SILENCE_MS = 600;
+/** A VM in use that has received nothing of any upstream for this long probes one. */
+const IDLE_MS = 1500;
+const IN_USE_MS = 30_000;
 /** A VM that has not repeated for this long that it is partitioned no longer is. */
 const PEER_VALID_MS = 3000;
 const REPEAT_MS = 1000;
@@ -93,7 +96,10 @@
   /** Probes again while partitioned, and looks for silence; called at regular intervals. */
   async function refresh(now: number): Promise<void> {
     if (!isPartitioned) {
-      if (now - lastByteAt > SILENCE_MS && host.hasWaited(now - SILENCE_MS)) {
+      const isSilent = now - lastByteAt > SILENCE_MS && host.hasWaited(now - SILENCE_MS);
+      const isIdle =
+        now - lastByteAt < IN_USE_MS && now - Math.max(lastByteAt, doubtedAt) > IDLE_MS;
+      if (isSilent || isIdle) {
         await recordDoubt(now);
       }
       return;
