--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -11,7 +11,6 @@
 import createServiceRetryBudget from '../gateway/createServiceRetryBudget';
 import type ResponseWriter from '../gateway/ResponseWriter';
 import type Change from '../keyValue/Change';
-import getGeneration from '../keyValue/getGeneration';
 import type Manifest from '../manifest/Manifest';
 import createMembers from '../members/createMembers';
 import createCongestionLog from '../mesh/createCongestionLog';
@@ -27,7 +26,6 @@
 import createUpstreams from '../upstream/createUpstreams';
 import createPrefillScheduler from '../prefill/createPrefillScheduler';
 import createPrefillClient from '../prefill/createPrefillClient';
-import type PrefillState from '../prefill/PrefillState';
 import createBroadcaster from '../broadcast/createBroadcaster';
 import createCrashDetector from '../quarantine/createCrashDetector';
 import createCrashGuard from '../quarantine/createCrashGuard';
@@ -42,11 +40,11 @@
 import createStreamOrigins from '../streams/createStreamOrigins';
 import getSoftwareVersion from '../streams/getSoftwareVersion';
 import createUsage from '../usage/createUsage';
-import getUsageSource from '../usage/getUsageSource';
 import createUsagePublisher from '../usage/createUsagePublisher';
 import createPlacement from './createPlacement';
 import handleDeparture from './handleDeparture';
 import isOutdated from './isOutdated';
+import receiveMessage from './receiveMessage';
 import type RoutedEntryHost from './RoutedEntryHost';
 import type RoutedEntryOptions from './RoutedEntryOptions';
 
@@ -420,6 +418,29 @@
     metrics,
   });
 
+  const receiverHost = { ...host, dataCentre: options.dataCentre, sendOrDeliver, getVersion };
+  const parts = {
+    members,
+    mirror,
+    broadcaster,
+    usage,
+    prefill,
+    usagePublisher,
+    engineStates,
+    pendingLoads,
+    ownerships,
+    engines,
+    readiness,
+    prefillClient,
+    rateLimiting,
+    crashGuard,
+    streamOrigins,
+    brittleServices,
+    places,
+    reach,
+    witnesses,
+  };
+
   /** Returns whether this VM reads the key-value service on behalf of the others. */
   function isReader(now: number): boolean {
     const isServiceLost = !mirror.isServiceReachable();
@@ -515,97 +536,7 @@
 
   /** Handles a message of another entry VM, or one that this VM sends to itself. */
   function receive(from: string, message: Message): void {
-    const now = host.now();
-    match(message)
-      .with({ kind: 'heartbeat' }, (heartbeat) => members.receive(from, heartbeat))
-      .with({ kind: 'news' }, (batch) => mirror.applyBatch(batch))
-      .with({ kind: 'newsWanted' }, ({ afterRevision }) => {
-        const batch =
-          afterRevision === undefined || getGeneration(afterRevision) < mirror.getGeneration()
-            ? mirror.getSnapshot()
-            : mirror.tryGetChanges(afterRevision);
-        if (batch) {
-          host.send(from, { kind: 'news', ...batch });
-        }
-      })
-      .with({ kind: 'forward' }, (forwarded) => {
-        const inner = broadcaster.receiveForward(forwarded.message);
-        if (inner) {
-          receive(from, inner);
-        }
-      })
-      .with({ kind: 'share' }, ({ upstream, share: adapterUsage }) =>
-        usage.receiveAdapterUsage(now, from, upstream, adapterUsage),
-      )
-      .with({ kind: 'usage' }, (usageMessage) => {
-        const { dataCentre, loads: inFlightCounts } = usageMessage;
-        usage.receiveInFlightCounts(
-          now,
-          getUsageSource(from, dataCentre, options.dataCentre),
-          inFlightCounts,
-        );
-        usageMessage.engines.forEach(({ engine, backlogMs, busy }) => {
-          prefill.updateBacklogs([[engine, backlogMs]]);
-          usage.receiveBusyAdapters(now, engine, busy);
-        });
-        usagePublisher.collect(usageMessage);
-        if (usageMessage.states.filter(engineStates.applyState).length > 0) {
-          pendingLoads.resolveServable();
-        }
-      })
-      .with({ kind: 'engineState' }, (state) => {
-        if (engineStates.applyState(state)) {
-          pendingLoads.resolveServable();
-        }
-      })
-      .with({ kind: 'engineClaimed' }, ({ engine, fence }) => ownerships.handleClaim(engine, fence))
-      .with({ kind: 'loadWanted' }, (request) => {
-        const engine = engines.tryGet(request.engine);
-        const { model, adapter, version, urgency, waitMs } = request;
-        if (!engine || readiness.has(now, engine.upstream, 'leaving')) {
-          const key = getAdapterKey(model, adapter);
-          sendOrDeliver(from, { kind: 'loadRefused', engine: request.engine, key });
-          return;
-        }
-        const requiredVersion = Math.max(version, getVersion(getAdapterKey(model, adapter)));
-        engine.requestLoad(
-          { model, adapter, version: requiredVersion, urgency, expiresAt: now + waitMs },
-          from,
-        );
-      })
-      .with({ kind: 'turnWanted' }, ({ engine, waitMs, kind: _, ...prefillRequest }) => {
-        const reply = (state: PrefillState) =>
-          sendOrDeliver(from, { kind: 'turn', id: prefillRequest.id, state });
-        const state = prefill.request(now, engine, prefillRequest, waitMs, () => reply('granted'));
-        if (state !== 'granted') {
-          reply(state);
-        }
-      })
-      .with({ kind: 'turn' }, ({ id, state }) => prefillClient.handleReply(id, state))
-      .with({ kind: 'turnOver' }, ({ engine, id }) => prefill.finish(now, engine, id))
-      .with({ kind: 'loadRefused' }, ({ engine, key }) => pendingLoads.retryElsewhere(engine, key))
-      .with({ kind: 'upstreamLimits' }, ({ statements }) => rateLimiting.receive(now, statements))
-      .with({ kind: 'upstreamsLeaving' }, (announced) =>
-        readiness.receiveDepartures(now, from, announced.upstreams),
-      )
-      .with({ kind: 'upstreamRested' }, (rested) => readiness.receiveRest(now, rested))
-      .with({ kind: 'serviceBrittle' }, ({ service }) => brittleServices.receive(now, service))
-      .with({ kind: 'placeWanted' }, (wanted) => places.handleRequest(from, wanted))
-      .with({ kind: 'place' }, (reply) => places.handleReply(from, reply))
-      .with({ kind: 'placeEnded' }, (ended) => places.handleEnd(from, ended))
-      .with({ kind: 'reach' }, (stated) => reach.receive(now, from, stated))
-      .with({ kind: 'probeWanted' }, (wanted) => witnesses.handleRequest(from, wanted))
-      .with({ kind: 'probed' }, ({ id, outcome }) => witnesses.handleReply(id, outcome))
-      .with({ kind: 'permitWanted' }, (wanted) => rateLimiting.handleRequest(from, wanted))
-      .with({ kind: 'permit' }, ({ id, ...reply }) => rateLimiting.handleReply(id, reply))
-      .with({ kind: 'upstreamCrash' }, (report) => crashGuard.receiveCrash(now, report))
-      .with({ kind: 'streamOrigins' }, ({ origins, isPublished }) =>
-        streamOrigins.receive(now, origins, isPublished),
-      )
-      .with({ kind: 'requestServed' }, ({ trait }) => crashGuard.receiveServed(now, trait))
-      .with({ kind: 'blocks' }, ({ blocks }) => crashGuard.receiveBlocks(now, blocks))
-      .with({ kind: 'engineDoubted' }, ({ engine }) => engines.tryGet(engine)?.invalidateState())
-      .otherwise(({ kind }) => host.log('messageDropped', { from, kind }));
+    receiveMessage(receiverHost, parts, from, message);
   }
 
   function start(): void {
