--- a/scripts/lab.ts
+++ b/scripts/lab.ts
@@ -18,6 +18,10 @@
 const KINDS = ['chat', 'resume', 'hold', 'look'] as const;
 const PERCENTILES = [50, 90, 99] as const;
 const WARM_UP_MS = 2000;
+/** Bounds of the contract on servers that fall over, from the contact time on. */
+const CONTACT_MS = 3000;
+const MAX_FALLS = 2;
+const MAX_FALLS_RATIO = 0.1;
 const OWN_BUNDLE = 'target/baobablink.cjs';
 
 const cli = meow(
@@ -40,6 +44,7 @@
   --rest-seconds N     time for which they want none (default: 4)
   --partitioned N      VMs that reach no server during a round (default: 0)
   --partition MODE     hang, reset or refused (default: hang)
+  --brittle N          plain servers end if they turn more than N requests away in a second
   --json               figures as JSON instead of a table
   --plot FILE          latencies by kind and build as SVG`,
   {
@@ -64,6 +69,7 @@
       restSeconds: { type: 'number', default: 4 },
       partitioned: { type: 'number', default: 0 },
       partition: { type: 'string', choices: ['hang', 'reset', 'refused'], default: 'hang' },
+      brittle: { type: 'number' },
       json: { type: 'boolean', default: false },
       plot: { type: 'string' },
     },
@@ -154,6 +160,11 @@
     process.stderr.write(`${use.server}: ${share} of its limit used (${use.arrived})\n`);
   });
   violations.push(...callers.getCrashViolations(record), ...callers.getMixedViolations());
+  const falls = record.falls.filter(({ at }) => at >= startedAt + WARM_UP_MS + CONTACT_MS);
+  process.stderr.write(`${falls.length} brittle servers fell over\n`);
+  if (falls.length > MAX_FALLS + flags.desks * MAX_FALLS_RATIO) {
+    violations.push(`${falls.length} brittle servers fell over`);
+  }
   const requests = new Map(callers.getResults().map((result) => [result.id, result]));
   const noticed = getNoticeViolations(record, (id) => requests.get(id));
   process.stderr.write(`${noticed.length} violations of what servers stated\n`);
@@ -188,6 +199,10 @@
     );
   const { leaving, resting, restSeconds: seconds } = flags;
   await trial.post('leave', { ids: getIds(0, leaving), recordLagMs: null });
+  if (flags.brittle !== undefined) {
+    const ids = trial.servers.filter(({ kind }) => kind === 'plain').map(({ id }) => id);
+    await trial.post('brittle', { ids, maxTurnedAway: flags.brittle });
+  }
   await trial.post('rest', { ids: getIds(leaving, resting), seconds, forMs: seconds * 1000 });
 }
 
--- a/standins/platform/ExecutionRecord.ts
+++ b/standins/platform/ExecutionRecord.ts
@@ -36,6 +36,8 @@
   }[];
   /** Arrivals of requests at servers that have made such a statement. */
   noticedArrivals: { at: number; server: string; boot: number; id: string }[];
+  /** Ends of servers that had to turn too many requests away. */
+  falls: { at: number; server: string }[];
   /** Number of commands by result. */
   orders: Record<string, number>;
 }
--- a/standins/platform/createPlainServer.ts
+++ b/standins/platform/createPlainServer.ts
@@ -7,6 +7,9 @@
 import sign from './sign';
 
 const SERVICE_MS = 15;
+/** A brittle server works slowly, and lets few requests wait. */
+const BRITTLE_SERVICE_MS = 300;
+const BRITTLE_WAITING = 1;
 const SLOTS = 6;
 /** Under the fault `unframed`, one in this many responses breaks off inside its body. */
 const TRUNCATION_INTERVAL = 3;
@@ -20,6 +23,10 @@
     getFault(): ServerFault;
     /** Records an arrival; returns what the server states, and whether it turns the request away. */
     recordArrival(id: string): { headers: Record<string, string>; isTurnedAway: boolean };
+    /** Returns whether the server ends if it has to turn many requests away. */
+    isBrittle(): boolean;
+    /** Called when a request is turned away for want of room; returns whether that ends the server. */
+    isEndedByRefusal(): boolean;
     onRestart(): void;
   },
 ) {
@@ -39,10 +46,17 @@
       refuse(421);
       return;
     }
-    if (isTurnedAway || running >= SLOTS * 2) {
+    if (isTurnedAway) {
       refuse(503);
       return;
     }
+    if (running >= SLOTS + (options.isBrittle() ? BRITTLE_WAITING : SLOTS)) {
+      refuse(503);
+      if (options.isEndedByRefusal()) {
+        crash();
+      }
+      return;
+    }
     running += 1;
     const path = String(request.url);
     const isCrashing = path.endsWith(CRASHING_PATH);
@@ -58,7 +72,7 @@
       isOnce,
     });
     await new Promise((resolve) => {
-      setTimeout(resolve, SERVICE_MS);
+      setTimeout(resolve, options.isBrittle() ? BRITTLE_SERVICE_MS : SERVICE_MS);
     });
     running -= 1;
     if (isCrashing) {
--- a/standins/platform/createServerNotices.ts
+++ b/standins/platform/createServerNotices.ts
@@ -14,6 +14,9 @@
   host: { getBootTime(server: string): number | undefined },
 ) {
   const limits = new Map<string, number>();
+  /** Requests that a server turns away in a second before it ends. */
+  const brittle = new Map<string, number>();
+  const refusals = new Map<string, number[]>();
   const leaving = new Set<string>();
   /** Until when a server turns requests away, and the seconds that it states. */
   const rests = new Map<string, { until: number; seconds: number }>();
@@ -42,6 +45,7 @@
       isTurnedAway,
       headers: {
         ...(limit !== undefined && { 'server-limit': String(limit) }),
+        ...(brittle.has(server) && { 'server-brittle': String(brittle.get(server)) }),
         ...(leaving.has(server) && { 'server-leaving': '1' }),
         ...(isTurnedAway && { 'retry-after': String(rest.seconds) }),
       },
@@ -58,8 +62,24 @@
     record.limits.push({ at: Date.now(), server, perSecond });
   }
 
+  /** Records that a server had no room for a request; returns whether that ends the server. */
+  function isEndedByRefusal(server: string): boolean {
+    const now = Date.now();
+    const recent = (refusals.get(server) ?? []).filter((at) => at > now - MS_PER_SECOND);
+    refusals.set(server, [...recent, now]);
+    const isEnded = recent.length + 1 > (brittle.get(server) ?? Infinity);
+    if (isEnded) {
+      refusals.delete(server);
+      record.falls.push({ at: now, server });
+    }
+    return isEnded;
+  }
+
   return {
     recordArrival,
+    isEndedByRefusal,
+    isBrittle: (server: string) => brittle.has(server),
+    setBrittle: (server: string, maxTurnedAway: number) => brittle.set(server, maxTurnedAway),
     setLimit,
     leave: (server: string) => leaving.add(server),
     turnAway: (server: string, seconds: number, forMs: number) =>
--- a/standins/platform/main.ts
+++ b/standins/platform/main.ts
@@ -37,6 +37,7 @@
   limitedArrivals: [],
   notices: [],
   noticedArrivals: [],
+  falls: [],
   orders: {},
 };
 const versions = new Map<string, number>();
@@ -66,6 +67,8 @@
       id: server.id,
       getFault,
       recordArrival,
+      isBrittle: () => notices.isBrittle(server.id),
+      isEndedByRefusal: () => notices.isEndedByRefusal(server.id),
       onRestart,
     });
     crashes.set(server.id, plainServer.crash);
@@ -134,6 +137,12 @@
   });
   return context.body(null, 200);
 });
+/** Lets plain servers work slowly, and end if they have to turn away more than some requests a second. */
+control.post('/brittle', async (context) => {
+  const { ids, maxTurnedAway } = await context.req.json<{ ids: string[]; maxTurnedAway: number }>();
+  ids.forEach((id) => notices.setBrittle(id, maxTurnedAway));
+  return context.body(null, 200);
+});
 /** Lets servers turn requests away for `forMs`, and state that they want none for `seconds`. */
 control.post('/rest', async (context) => {
   const { ids, seconds, forMs } = await context.req.json<{
