Partitioned VMs give up only what has stalled; waits at a leaving engine are placed anew

Read-through: at the moment at which a VM took itself for partitioned, it also ended streams that went on over connections from before; now only attempts without bytes for 0.5 s. A VM with long streams only counted as one that receives nothing, and probed. A request whose wait for a turn ended since its engine leaves was treated like one that got no turn in time, and refused as busy after 150 ms instead of being placed elsewhere.

--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -383,6 +383,7 @@
     ...host,
     getUpstreams: upstreams.getAll,
     hasWaited: attempts.hasWaited,
+    getLastByteAt: attempts.getLastByteAt,
     broadcast: broadcaster.broadcast,
     onPartitioned: () => {
       attempts.leaveUpstreams();
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -37,6 +37,8 @@
 /** Used for routes without a pause objective. */
 const DEFAULT_PAUSE_OBJECTIVE_MS = 300;
 const MIN_REDIRECT_STATUS = 300;
+/** Time without bytes after which an attempt of a partitioned VM is given up; others go on. */
+const MIN_STALLED_MS = 500;
 /** A response that has lasted this long did not end its upstream when it began. */
 const MIN_BEGUN_MS = 250;
 
@@ -75,6 +77,8 @@
 interface PendingAttempt {
   sentAt: number;
   hasBegun: boolean;
+  /** Returns when it was sent, or when the last bytes of its response arrived. */
+  getActiveAt(): number;
   /** Ends it so that it can be made elsewhere; undefined if the request may run once only. */
   giveUp: (() => void) | undefined;
   /** Stops to count it as in flight at its upstream. */
@@ -133,7 +137,8 @@
         return endUnsent({ kind: 'callerLeft' });
       }
       if (permission === 'refused') {
-        return endUnsent({ kind: 'notSent', reason: 'noTurn' });
+        const isLeaving = parts.readiness.has(host.now(), upstream, 'leaving');
+        return endUnsent({ kind: 'notSent', reason: isLeaving ? 'upstreamLeft' : 'noTurn' });
       }
     }
     let permitWaitMs = 0;
@@ -174,6 +179,7 @@
     const pendingAttempt: PendingAttempt = {
       sentAt,
       hasBegun: false,
+      getActiveAt: () => Math.max(sentAt, request.lastByteAt ?? -Infinity),
       giveUp: isRetryable ? () => request.giveUp() : undefined,
       endUse: () => {
         endRequest(host.now());
@@ -277,7 +283,11 @@
 
   /** Ends what waits for upstreams that this VM does not reach, so that other VMs carry it. */
   function leaveUpstreams(): void {
-    [...pending].forEach(({ hasBegun, giveUp, endUse }) => {
+    const now = host.now();
+    [...pending].forEach(({ hasBegun, getActiveAt, giveUp, endUse }) => {
+      if (now - getActiveAt() < MIN_STALLED_MS) {
+        return;
+      }
       if (giveUp) {
         giveUp();
       } else if (!hasBegun) {
@@ -318,6 +328,12 @@
   return {
     attempt,
     leaveUpstreams,
+    /** Returns when the last bytes of a response that is not complete arrived, or -Infinity. */
+    getLastByteAt: () =>
+      Math.max(
+        -Infinity,
+        ...[...pending].filter(({ hasBegun }) => hasBegun).map(({ getActiveAt }) => getActiveAt()),
+      ),
     /** Returns whether a request has waited for the head of its response since `at`. */
     hasWaited: (at: number) =>
       [...pending].some(({ sentAt, hasBegun }) => !hasBegun && sentAt <= at),
--- a/src/reach/createReach.ts
+++ b/src/reach/createReach.ts
@@ -25,6 +25,8 @@
   /** Opens and closes a connection to an address (`ip:port`). */
   probe(address: string): Promise<ProbeOutcome>;
   getUpstreams(): readonly Upstream[];
+  /** Returns when the last bytes of a response that is not complete arrived, or -Infinity. */
+  getLastByteAt(): number;
   /** Returns whether requests at upstreams have waited for their first byte since a time. */
   hasWaited(since: number): boolean;
   broadcast(message: Message): void;
@@ -96,6 +98,7 @@
   /** Probes again while partitioned, and looks for silence; called at regular intervals. */
   async function refresh(now: number): Promise<void> {
     if (!isPartitioned) {
+      lastByteAt = Math.max(lastByteAt, host.getLastByteAt());
       const isSilent = now - lastByteAt > SILENCE_MS && host.hasWaited(now - SILENCE_MS);
       const isIdle =
         now - lastByteAt < IN_USE_MS && now - Math.max(lastByteAt, doubtedAt) > IDLE_MS;
--- a/test/routed/reach.test.ts
+++ b/test/routed/reach.test.ts
@@ -73,6 +73,7 @@
     },
     getUpstreams: () => upstreams,
     hasWaited: () => isWaiting,
+    getLastByteAt: () => -Infinity,
     broadcast: (message) => sent.push(message),
     onPartitioned: () => {},
     random: () => 0.5,
