A takeover's quiet time outlasts a restart of the new owner

An engine's new owner had 4,446 ms to wait, all VMs were killed 0.6 s later, and its next process found its own record and sent at once. The record of an engine now says that its claim was a takeover; a VM that finds such a record of its own former process waits as long as after any takeover. Cost: such an engine gets no loads for 3.3 s after its owner was killed and restarted.

--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -195,15 +195,27 @@
       record?.holder === address &&
       record.incarnation === incarnation &&
       record.revision !== writtenRecords.get(engine)?.revision;
+    const isFormerTakeover =
+      record?.holder === address && record.incarnation !== incarnation && record.isTakeover;
     const leaseNumber = host.members.getLeaseNumber();
     const generation = host.mirror.getGeneration();
+    const isTakeover =
+      isOwnedByOther ||
+      isFromUnansweredClaim ||
+      isFormerTakeover ||
+      (record ? record.generation < generation : generation > FIRST_GENERATION) ||
+      host.now() < (writtenRecords.get(engine)?.sendAfter ?? -Infinity);
     const response = await host.keyValue.transact({
       compare: [
         { key, modRevision: record?.revision ?? 0 },
         ...(isOwnedByOther ? [{ key: `${MEMBER_PREFIX}${record.holder}`, modRevision: 0 }] : []),
       ],
       writes: [
-        { kind: 'put', key, value: JSON.stringify({ holder: address, incarnation, generation }) },
+        {
+          kind: 'put',
+          key,
+          value: JSON.stringify({ holder: address, incarnation, generation, isTakeover }),
+        },
       ],
       readOnFailure: [],
     });
@@ -223,6 +235,7 @@
     const sendAfter = getSendAfter(now, engine, record, {
       isOwnedByOther,
       isFromUnansweredClaim,
+      isFormerTakeover,
     });
     interrupted.delete(engine);
     writtenRecords.set(engine, { revision: fence, sendAfter });
@@ -241,7 +254,12 @@
     now: number,
     engine: string,
     record: ReturnType<typeof tryGetRecord>,
-    former: { isOwnedByOther: boolean; isFromUnansweredClaim: boolean },
+    former: {
+      isOwnedByOther: boolean;
+      isFromUnansweredClaim: boolean;
+      /** Whether a former process of this VM claimed it, and may have had to wait. */
+      isFormerTakeover: boolean;
+    },
   ): number {
     const takeoverAt = now + options.leaseMs + LEASE_MARGIN_MS;
     const held = interrupted.get(engine);
@@ -252,6 +270,10 @@
       // The record is older than the restore: another VM may have owned the engine since then.
       return takeoverAt + RESTORE_LAG_MS;
     }
+    if (former.isFormerTakeover) {
+      const isRestored = host.mirror.getGeneration() > FIRST_GENERATION;
+      return takeoverAt + (isRestored ? RESTORE_LAG_MS : 0);
+    }
     if (former.isOwnedByOther || former.isFromUnansweredClaim) {
       return takeoverAt;
     }
@@ -291,8 +313,14 @@
       holder,
       incarnation,
       generation = 0,
-    } = JSON.parse(entry.value) as { holder: string; incarnation: string; generation?: number };
-    return { holder, incarnation, generation, revision: entry.revision };
+      isTakeover = false,
+    } = JSON.parse(entry.value) as {
+      holder: string;
+      incarnation: string;
+      generation?: number;
+      isTakeover?: boolean;
+    };
+    return { holder, incarnation, generation, isTakeover, revision: entry.revision };
   }
 
   /**
--- a/test/routed/ownerships.test.ts
+++ b/test/routed/ownerships.test.ts
@@ -53,6 +53,23 @@
     });
   });
 
+  it('keeps the quiet time of a takeover if the new owner is restarted in it', async () => {
+    const fixture = createTestVms(2);
+    await fixture.run(4000);
+    const [deadVm] = fixture.getOwners('e1');
+    const successor = [...fixture.vms.keys()].find((vm) => vm !== deadVm)!;
+    fixture.killVm(deadVm);
+    const diedAt = fixture.clock.now();
+    await fixture.run(1000);
+    fixture.removeVm(successor);
+    fixture.restartVm(successor);
+    await fixture.run(LEASE_MS - 1250);
+    expect(fixture.getOwners('e1')).to.deep.equal([]);
+    await fixture.run(2000 + 2 * MARGIN_MS);
+    expect(fixture.getOwners('e1')).to.deep.equal([successor]);
+    expect(fixture.clock.now() - diedAt).to.be.greaterThan(LEASE_MS);
+  });
+
   it('stays where it is if no VM reaches an upstream', async () => {
     const fixture = createTestVms(2);
     await fixture.run(4000);
