--- a/review/lib/createEngine.mjs
+++ b/review/lib/createEngine.mjs
@@ -10,7 +10,8 @@
 /**
  * Creates a model server as PROTOCOL.md describes it. It starts with its model; after a restart under
  * the same id it is empty and counts its orders anew. `isLate` says whether an order gets no answer
- * and is carried out 2 to 12 s later.
+ * and is carried out 2 to 12 s later; `listsLeaving`, whether its reports list adapters that are unloaded
+ * once their runs have ended.
  */
 export default function createEngine(options) {
   const { id, model, adapterSlots, loadMs, adapterMs, events, note } = options;
@@ -30,7 +31,9 @@
   const isBusy = () => modelReadyAt !== undefined && modelReadyAt > now();
 
   function getModels() {
-    const ready = [...adapters].filter(([, { readyAt }]) => readyAt <= now());
+    const ready = [...adapters].filter(
+      ([, { readyAt, isLeaving }]) => readyAt <= now() && (options.listsLeaving || !isLeaving),
+    );
     return hasModel()
       ? [
           {
@@ -111,6 +114,9 @@
 
   function load(name, version, holder, isLate) {
     const held = adapters.get(name);
+    if (held?.isLeaving) {
+      return 409;
+    }
     if (held && held.version >= version) {
       return held.readyAt <= now() ? 200 : 202;
     }
