A reset is recognised at the end of a connection, not at the end of a response (MIXED)

Callers saw 200 with the upstream's receipt and half of the body, framed as complete, if the response had no length, its connection was reset behind the last bytes, and that connection had carried a 204 before.

Cause: Node.js (libuv) reports a reset that follows the last bytes within one poll as a normal end; only the peer address is gone. `remoteAddress` caches its first value, and it was read after each response without length and chunks, though 204 and 304 end with their head and leave the connection open. The cached address then hid the reset. Evidence: on a socket whose address was read early, `remoteAddress` is still set at the end, while `getpeername` of its handle fails with ENOTCONN (-107), as it does without the early read.

Change: the address is read once, when the connection ends, before the HTTP client ends the response; how a response is framed no longer matters there. That also covers a body whose last transfer coding is not chunked, which counted as framed by chunks.

Ruled out: a response to HEAD and one with a length before it (both pass on the old code).

--- a/src/upstream/createConnections.ts
+++ b/src/upstream/createConnections.ts
@@ -1,7 +1,6 @@
 import { buildConnector, Client } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { Socket } from 'node:net';
-import getResponseFraming from './getResponseFraming';
 import type ResponseHandler from './ResponseHandler';
 
 /** TCP repeats a lost first packet only after 1 s; trying another upstream is faster. */
@@ -32,7 +31,7 @@
 interface Connection {
   client: Client;
   socket: Socket | undefined;
-  /** Whether the peer reset it; a response delimited only by the close is then incomplete. */
+  /** Whether it ended by a reset; a response delimited only by its end is then incomplete. */
   isReset: boolean;
   /** Whether a request was sent on it before the present one. */
   isReused: boolean;
@@ -87,6 +86,10 @@
           connection.socket?.on('error', () => {
             connection.isReset = true;
           });
+          // Registered before the client's own listener, which ends the response.
+          connection.socket?.on('end', () => {
+            connection.isReset ||= !hasPeer(connection);
+          });
           connection.socket?.on('readable', () => endIfHeadTooLarge(connection));
           callback(...result);
         }),
@@ -132,7 +135,6 @@
     const { client } = connection;
     let controller: Dispatcher.DispatchController | undefined;
     let isEnded = false;
-    let isFramed = false;
     let isClosing = message.isLast ?? false;
     const end = (callback: () => void) => {
       if (!isEnded) {
@@ -157,7 +159,6 @@
           }
         },
         onResponseStart: (_, status, headers) => {
-          isFramed = getResponseFraming(headers) !== 'connection';
           isClosing ||= CLOSE_OPTION.test(String(headers.connection));
           if (status >= 200) {
             connection.headEndsBefore = Infinity;
@@ -172,7 +173,7 @@
           }
         },
         onResponseEnd: () => {
-          if (connection.isReset || (!isFramed && !hasPeer(connection))) {
+          if (connection.isReset) {
             end(() => handler.onError({ kind: 'lost', reason: 'reset' }));
             return;
           }
@@ -224,9 +225,9 @@
 }
 
 /**
- * Returns whether a connection that has ended still has a peer address. If a reset directly follows
- * the last bytes, Node.js reports a normal end, but the socket has no peer any more. The address
- * must not be read earlier, since Node.js caches the first value.
+ * Returns whether a connection still has a peer address at its end. If a reset directly follows the
+ * last bytes, Node.js reports a normal end, but the socket has no peer any more. The address must not
+ * be read while the connection is open, since Node.js caches the first value.
  */
 function hasPeer(connection: Connection): boolean {
   return connection.socket?.remoteAddress !== undefined;
--- a/test/platform/connections.test.ts
+++ b/test/platform/connections.test.ts
@@ -44,6 +44,65 @@
     expect(await sendRequest(address)).to.deep.include({ kind: 'error' });
   });
 
+  // Guards against a truncated body that is taken for whole because of an earlier response (MIXED).
+  [
+    ['204', 'GET', 'HTTP/1.1 204 No Content\r\n\r\n'],
+    ['304', 'GET', 'HTTP/1.1 304 Not Modified\r\n\r\n'],
+    ['a response to HEAD', 'HEAD', 'HTTP/1.1 200 OK\r\n\r\n'],
+    ['a length', 'GET', 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'],
+  ].forEach(([name, method, first]) => {
+    it(`reports an error if a response without a length is reset on a connection that carried ${name}`, async () => {
+      let requestCount = 0;
+      let connectionCount = 0;
+      const address = await listen(
+        (socket) => {
+          requestCount += 1;
+          if (requestCount === 1) {
+            socket.write(first);
+          } else {
+            socket.write('HTTP/1.1 200 OK\r\n\r\nha');
+            setImmediate(() => socket.resetAndDestroy());
+          }
+        },
+        () => {
+          connectionCount += 1;
+        },
+      );
+      const connections = createConnections(() => {});
+      const earlier = await sendRequest(address, connections, { ...REQUEST, method });
+      expect(earlier).to.deep.include({ kind: 'complete', body: '' });
+      expect(await sendRequest(address, connections)).to.deep.include({ kind: 'error' });
+      expect(connectionCount).to.equal(1);
+    });
+  });
+
+  // Guards against a truncated body that is taken for whole since its coding looks like framing (MIXED).
+  it('reports an error if a reset follows a body whose last transfer coding is not chunked', async () => {
+    const address = await listen((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nha');
+      setImmediate(() => socket.resetAndDestroy());
+    });
+    expect(await sendRequest(address)).to.deep.include({ kind: 'error' });
+  });
+
+  it('accepts a response without a length after a 204 if its connection is closed', async () => {
+    let requestCount = 0;
+    const address = await listen((socket) => {
+      requestCount += 1;
+      if (requestCount === 1) {
+        socket.write('HTTP/1.1 204 No Content\r\n\r\n');
+      } else {
+        socket.end('HTTP/1.1 200 OK\r\n\r\nwhole');
+      }
+    });
+    const connections = createConnections(() => {});
+    await sendRequest(address, connections);
+    expect(await sendRequest(address, connections)).to.deep.include({
+      kind: 'complete',
+      body: 'whole',
+    });
+  });
+
   it('reports an error for a response that is shorter than its length', async () => {
     const address = await listen((socket) => {
       socket.end('HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf');
