A 204 on the route of a stream reaches its caller

Callers saw 502 where the upstream had answered 204 (or a response to HEAD) on the route of a stream: it was taken for a stream without length or chunks that ended before its first event.

By RFC 9112, 6.3, a response to HEAD, a 204 and a 304 end with their head, and transfer codings whose last is not chunked end with the connection.

Before: the two new tests fail with 502.

--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -167,7 +167,8 @@
         }
         head = responseHead;
         host.onHead(host.now(), responseHead);
-        Object.assign(request, { framing: getResponseFraming(headers) });
+        const { method } = request.callerRequest;
+        Object.assign(request, { framing: getResponseFraming(method, status, headers) });
         const canContinue =
           !isContinuation || (status === CONTINUATION_STATUS && isEventStream(headers));
         isStreaming = request.route.kind === 'stream' && isSuccess(status) && canContinue;
--- a/test/platform/truncatedResponse.test.ts
+++ b/test/platform/truncatedResponse.test.ts
@@ -112,6 +112,19 @@
     expect(seen).to.deep.equal({ status: 200, isComplete: true, body });
   });
 
+  // Guards against a response without a body that is taken for a stream without its first event.
+  ['204 No Content', '204 No Content\r\nContent-Type: text/event-stream'].forEach((head) => {
+    it(`is not confused with a response that has no body: ${head.replace('\r\n', ', ')}`, async () => {
+      const response: UpstreamResponse = {
+        head: `HTTP/1.1 ${head}\r\n\r\n`,
+        body: '',
+        ending: 'close',
+      };
+      const seen = await serve({ kind: 'stream' }, [response]);
+      expect(seen).to.deep.equal({ status: 204, isComplete: true, body: '' });
+    });
+  });
+
   it('is not confused with a whole body of another type on the route of a stream', async () => {
     const head = 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n';
     const seen = await serve({ kind: 'stream' }, [{ head, body: '{"id":1}', ending: 'close' }]);
