A response without end does not fill the memory of a client that reads it as a whole (LOST)

Other operators reported a VM that kept bytes without end of a faulty server and ran out of memory.

Cause: clients that read a response as a whole (reports and commands of engines, the key-value service, and four clients of the own interface) kept what arrived until their timeout; nothing bounded its size. The path of callers' requests bounds heads and what it buffers, but not the framing of a body.

On the path of callers' requests, 256 KB without a final head or a part of a body end the connection.

A body of 4 MB whose reader pauses arrives whole.

--- a/src/keyValue/createEtcdKeyValue.ts
+++ b/src/keyValue/createEtcdKeyValue.ts
@@ -1,6 +1,7 @@
 import { Agent, request } from 'undici';
 import { match } from 'ts-pattern';
 import type Result from '../shared/Result';
+import createBoundedConnector from '../upstream/createBoundedConnector';
 import type KeyValue from './KeyValue';
 import type KeyValueEntry from './KeyValueEntry';
 import type KeyValueError from './KeyValueError';
@@ -25,6 +26,8 @@
 
 const CONNECT_ERROR_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
 const TOO_MANY_REQUESTS = 429;
+/** A range may hold all rows of a table. */
+const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
 
 /**
  * Creates a client of the etcd v3 JSON API (range, txn, lease, watch).
@@ -35,7 +38,13 @@
   callTimeoutMs: number;
   countCall: (name: string) => void;
 }): KeyValue {
-  const agent = new Agent({ connections: 16, connectTimeout: options.callTimeoutMs });
+  const agent = new Agent({
+    connections: 16,
+    connect: createBoundedConnector({
+      connectTimeoutMs: options.callTimeoutMs,
+      maxResponseBytes: MAX_RESPONSE_BYTES,
+    }),
+  });
 
   async function call<Value>(
     name: string,
--- a/src/upstream/createConnections.ts
+++ b/src/upstream/createConnections.ts
@@ -10,8 +10,8 @@
 const MAX_HEADER_BYTES = 64 * 1024;
 const CLOSE_OPTION = /\bclose\b/i;
 
-/** Bytes up to the end of the final head, interim responses included. */
-const MAX_READ_HEAD_BYTES = 2 * MAX_HEADER_BYTES;
+/** Bytes in a row that belong neither to a complete final head nor to the content of a body. */
+const MAX_OVERHEAD_BYTES = 4 * MAX_HEADER_BYTES;
 
 interface RequestMessage {
   method: string;
@@ -35,8 +35,8 @@
   isReset: boolean;
   /** Whether a request was sent on it before the present one. */
   isReused: boolean;
-  /** Value of `socket.bytesRead` at which a head that has not ended is given up. */
-  headEndsBefore: number;
+  /** Value of `socket.bytesRead` at which a response without further content is given up. */
+  overheadEndsBefore: number;
 }
 
 interface ConnectionGroup {
@@ -90,7 +90,7 @@
           connection.socket?.on('end', () => {
             connection.isReset ||= !hasPeer(connection);
           });
-          connection.socket?.on('readable', () => endIfHeadTooLarge(connection));
+          connection.socket?.on('readable', () => endIfOverheadTooLarge(connection));
           callback(...result);
         }),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -104,7 +104,7 @@
       socket: undefined,
       isReset: false,
       isReused: false,
-      headEndsBefore: Infinity,
+      overheadEndsBefore: Infinity,
     };
     group.openCount += 1;
     onOpened();
@@ -142,7 +142,7 @@
         callback();
       }
     };
-    connection.headEndsBefore = (connection.socket?.bytesRead ?? 0) + MAX_READ_HEAD_BYTES;
+    resetOverheadLimit(connection);
     client.dispatch(
       {
         method: message.method,
@@ -161,13 +161,14 @@
         onResponseStart: (_, status, headers) => {
           isClosing ||= CLOSE_OPTION.test(String(headers.connection));
           if (status >= 200) {
-            connection.headEndsBefore = Infinity;
+            resetOverheadLimit(connection);
             if (!isEnded) {
               handler.onHead(status, headers, connection.isReused);
             }
           }
         },
         onResponseData: (_, chunk) => {
+          resetOverheadLimit(connection);
           if (!isEnded) {
             handler.onData(chunk);
           }
@@ -217,10 +218,16 @@
   return connection && Object.assign(connection, { isReused: true });
 }
 
-/** Ends a connection that delivers bytes without end before the final head of a response. */
-function endIfHeadTooLarge({ socket, headEndsBefore }: Connection): void {
-  if (socket && socket.bytesRead > headEndsBefore) {
-    socket.destroy(new Error('the head of a response has no end'));
+function resetOverheadLimit(connection: Connection): void {
+  Object.assign(connection, {
+    overheadEndsBefore: (connection.socket?.bytesRead ?? 0) + MAX_OVERHEAD_BYTES,
+  });
+}
+
+/** Ends a connection that delivers heads or framing without end. */
+function endIfOverheadTooLarge({ socket, overheadEndsBefore }: Connection): void {
+  if (socket && socket.bytesRead > overheadEndsBefore) {
+    socket.destroy(new Error('a head or the framing of a body has no end'));
   }
 }
 
--- a/src/upstream/createHttpEngineClient.ts
+++ b/src/upstream/createHttpEngineClient.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from 'undici';
 import { z } from 'zod';
 import type Result from '../shared/Result';
+import createBoundedConnector from './createBoundedConnector';
 import type EngineError from './EngineError';
 import type EngineClient from './EngineClient';
 
@@ -9,6 +10,9 @@
 const READ_TIMEOUT_MS = 2000;
 const CONNECT_TIMEOUT_MS = 1000;
 const MAX_LINE_CHARACTERS = 1_000_000;
+const MAX_RESPONSE_BYTES = 1024 * 1024;
+/** Bytes of a refusal that are read, of which some are logged. */
+const MAX_REFUSAL_BYTES = 4096;
 const CONNECT_FAILURES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
 const STATUS_STALE = 409;
 const STATUS_MISSING = 404;
@@ -40,7 +44,13 @@
 /** Creates a client of engines with the OpenAI-compatible API and LoRA load commands. */
 export default function createHttpEngineClient(): EngineClient {
   const agent = new Agent({ connections: 256, connectTimeout: CONNECT_TIMEOUT_MS, pipelining: 1 });
-  const commandAgent = new Agent({ connections: 16, connectTimeout: CONNECT_TIMEOUT_MS });
+  const commandAgent = new Agent({
+    connections: 16,
+    connect: createBoundedConnector({
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      maxResponseBytes: MAX_RESPONSE_BYTES,
+    }),
+  });
 
   async function sendRequest(
     address: string,
@@ -172,7 +182,7 @@
         }),
       });
       if (response.statusCode >= 300) {
-        end(getStatusError(response.statusCode, await response.body.text()));
+        end(getStatusError(response.statusCode, await readRefusal(response.body)));
         return;
       }
       ({ body } = response);
@@ -206,6 +216,18 @@
   return { getAdapterNames, getReport, load, unload, stream };
 }
 
+/** Reads the beginning of a body; the rest is not awaited. */
+async function readRefusal(body: Dispatcher.ResponseData['body']): Promise<string> {
+  let text = '';
+  for await (const chunk of body) {
+    text += String(chunk);
+    if (text.length >= MAX_REFUSAL_BYTES) {
+      break;
+    }
+  }
+  return text;
+}
+
 function tryParseJson(text: string): unknown {
   try {
     return JSON.parse(text);
--- a/src/upstream/createHttpServiceClient.ts
+++ b/src/upstream/createHttpServiceClient.ts
@@ -5,6 +5,7 @@
 import type ServiceResponse from './ServiceResponse';
 
 const MAX_CONNECTIONS = 1024;
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
 
 /**
  * Creates a client of plain HTTP services. It does not reuse connections, since an idle one may be
@@ -16,16 +17,18 @@
   const call: ServiceClient['call'] = (address, request) =>
     new Promise<Result<ServiceResponse, ServiceError>>((resolve) => {
       const parts: Buffer[] = [];
+      let bodyBytes = 0;
       let status = 0;
       let contentType = 'text/plain';
       const fail = (error: ServiceError) => {
         clearTimeout(timer);
         resolve({ ok: false, error });
       };
-      const timer = setTimeout(() => {
+      const abort = (reason: string) => {
         controls?.abort();
-        fail({ kind: 'lost', reason: 'no response within the timeout' });
-      }, request.timeoutMs);
+        fail({ kind: 'lost', reason });
+      };
+      const timer = setTimeout(() => abort('no response within the timeout'), request.timeoutMs);
       const message = {
         method: request.method,
         path: request.path,
@@ -38,7 +41,14 @@
           status = headStatus;
           contentType = String(headers['content-type'] ?? contentType);
         },
-        onData: (chunk) => parts.push(chunk),
+        onData: (chunk) => {
+          bodyBytes += chunk.length;
+          if (bodyBytes <= MAX_BODY_BYTES) {
+            parts.push(chunk);
+          } else {
+            abort('response too large');
+          }
+        },
         onEnd: () => {
           clearTimeout(timer);
           const body = Buffer.concat(parts).toString();
--- a/src/vmList/createVirtualMachineList.ts
+++ b/src/vmList/createVirtualMachineList.ts
@@ -1,7 +1,10 @@
-import { request } from 'undici';
+import { Agent, request } from 'undici';
 import { z } from 'zod';
+import createBoundedConnector from '../upstream/createBoundedConnector';
 import type VirtualMachine from './VirtualMachine';
 
+const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+
 const VmListResponse = z.object({
   vms: z.array(
     z.object({
@@ -14,9 +17,16 @@
 
 /** Creates a client of the platform's list of VMs; it returns undefined if a request fails. */
 export default function createVirtualMachineList(url: string, timeoutMs: number) {
+  const dispatcher = new Agent({
+    connect: createBoundedConnector({
+      connectTimeoutMs: timeoutMs,
+      maxResponseBytes: MAX_RESPONSE_BYTES,
+    }),
+  });
+
   return async function tryGetList(): Promise<VirtualMachine[] | undefined> {
     try {
-      const response = await request(url, { signal: AbortSignal.timeout(timeoutMs) });
+      const response = await request(url, { dispatcher, signal: AbortSignal.timeout(timeoutMs) });
       const parsed = VmListResponse.safeParse(await response.body.json());
       return parsed.success ? parsed.data.vms : undefined;
     } catch {
--- a/test/platform/connections.test.ts
+++ b/test/platform/connections.test.ts
@@ -185,6 +185,34 @@
     expect(error).to.deep.include({ kind: 'notSent' });
   });
 
+  it('does not give up a large body whose reader pauses', async () => {
+    const size = 4 * 1024 * 1024;
+    const address = await listen((socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${size}\r\n\r\n`);
+      socket.write(Buffer.alloc(size, 'x'));
+    });
+    const connections = createConnections(() => {});
+    let received = 0;
+    let pauseCount = 0;
+    const outcome = await new Promise<string>((resolve) => {
+      const controls = connections.send(address, REQUEST, 1, {
+        onHead: () => {},
+        onData: (chunk) => {
+          received += chunk.length;
+          if (received > pauseCount * (size / 8)) {
+            pauseCount += 1;
+            controls!.pause();
+            setTimeout(controls!.resume, 20);
+          }
+        },
+        onEnd: () => resolve('end'),
+        onError: ({ reason }) => resolve(reason),
+      });
+    });
+    expect([outcome, received, pauseCount]).to.deep.equal(['end', size, 8]);
+    connections.close();
+  });
+
   it('opens no more connections than allowed for the upstream', async () => {
     const address = await listen(() => {});
     const connections = createConnections(() => {});
--- a/test/platform/endlessResponse.test.ts
+++ b/test/platform/endlessResponse.test.ts
@@ -1,17 +1,35 @@
 import net from 'node:net';
 import { expect } from 'chai';
+import createEngineControl from '../../platform/createEngineControl';
+import createKeyValueClient from '../../platform/createKeyValueClient';
 import type ActiveRequest from '../../src/gateway/ActiveRequest';
 import sendAttempt from '../../src/gateway/sendAttempt';
 import type Route from '../../src/manifest/Route';
 import type ResponseHandler from '../../src/upstream/ResponseHandler';
 import createVirtualClock from '../scenario/createVirtualClock';
 import createConnections from '../../src/upstream/createConnections';
+import createHttpEngineClient from '../../src/upstream/createHttpEngineClient';
+import createHttpServiceClient from '../../src/upstream/createHttpServiceClient';
 
 const REQUEST = { method: 'GET', path: '/a', headers: ['Host', 'h'], body: undefined };
 const CHUNK_BYTES = 16 * 1024;
 /** Well over what may be read before a response without end is given up. */
 const MAX_READ_BYTES = 8 * 1024 * 1024;
 const GIVE_UP_MS = 3000;
+/** The most that a client keeps of a response that it reads as a whole. */
+const MAX_KEPT_BYTES = 8 * 1024 * 1024;
+/** What the sockets of both ends hold of a stream that is not read. */
+const SOCKET_BUFFER_BYTES = 10 * 1024 * 1024;
+const COMMAND = { kind: 'load', model: 'm', adapter: 'a', version: 1 } as const;
+const CONDITION = { expectedSequence: 1, holder: 'vm', fence: 1 };
+const CALL = {
+  id: '1',
+  method: 'GET',
+  path: '/',
+  contentType: 'text/plain',
+  body: '',
+  timeoutMs: 1000,
+};
 const DEADLINE_MS = 2000;
 
 describe('a response without end', () => {
@@ -47,6 +65,58 @@
     });
   });
 
+  // Guards against a client that keeps a response without end until its timeout or the end of the memory.
+  const requests: [string, (address: string) => Promise<{ ok: boolean }>][] = [
+    ['a report', (address) => createEngineControl().getReport({ id: 'i', address }, () => {})],
+    [
+      'a command',
+      (address) =>
+        createEngineControl().sendCommand({ id: 'i', address }, COMMAND, CONDITION, () => {}),
+    ],
+    [
+      'a list of entries',
+      (address) => createKeyValueClient(address, () => {}).list({ prefix: '', after: undefined }),
+    ],
+    [
+      'changes',
+      (address) =>
+        createKeyValueClient(address, () => {}).follow({
+          prefix: '',
+          afterRevision: 1,
+          waitMs: 500,
+        }),
+    ],
+    [
+      'a transaction',
+      (address) =>
+        createKeyValueClient(address, () => {}).transact({
+          compare: [],
+          writes: [],
+          readOnFailure: [],
+        }),
+    ],
+    ['a report of the own interface', (address) => createHttpEngineClient().getReport(address)],
+    ['a call of the own interface', (address) => createHttpServiceClient().call(address, CALL)],
+  ];
+  const forms: [string, string, string][] = [
+    ['a body without length', 'HTTP/1.1 200 OK\r\n\r\n', 'x'],
+    ['chunks', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', '2\r\nxx\r\n'],
+    ['the body of a failure', 'HTTP/1.1 500 Internal Server Error\r\n\r\n', 'x'],
+    ['a chunk extension', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;', 'x'],
+    ['trailers', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n', 'Name: x\r\n'],
+    ...heads,
+  ];
+  requests.forEach(([request, send]) => {
+    forms.forEach(([name, start, repeated]) => {
+      it(`does not fill the memory: ${name} in response to ${request}`, async () => {
+        const { address, getWrittenBytes, closed } = await listen(start, repeated);
+        expect((await send(address)).ok).to.equal(false);
+        await closed;
+        expect(getWrittenBytes()).to.be.lessThan(MAX_KEPT_BYTES + SOCKET_BUFFER_BYTES);
+      });
+    });
+  });
+
   it('does not fill the memory: a body is forwarded as it comes, and cut at the deadline', async () => {
     const fixture = createTestAttempt({ kind: 'idempotent', isResumable: false });
     fixture.receive(200, MAX_READ_BYTES);
