A body in very small chunks does not end a VM (LOST)

Cause: the HTTP client passes each chunk on by itself. 1 MB that is kept of a response is then a million buffers, some hundred times its size, and an event that grows by a byte at a time is copied with each.

Change: the parts of a body that are parsed in one go are joined before the gateway gets them, and a response is given up once its heads and framing take 256 KB more than its content. A sound response spends a few bytes of framing on a chunk.

--- a/src/upstream/createConnections.ts
+++ b/src/upstream/createConnections.ts
@@ -1,6 +1,7 @@
 import { buildConnector, Client } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { Socket } from 'node:net';
+import createPartCollector from './createPartCollector';
 import type ResponseHandler from './ResponseHandler';
 
 /** TCP repeats a lost first packet only after 1 s; trying another upstream is faster. */
@@ -10,8 +11,13 @@
 const MAX_HEADER_BYTES = 64 * 1024;
 const CLOSE_OPTION = /\bclose\b/i;
 
-/** Bytes in a row that belong neither to a complete final head nor to the content of a body. */
+/**
+ * Bytes of heads, and of framing beyond as many bytes as the content of a body has, after which a
+ * response is given up.
+ */
 const MAX_OVERHEAD_BYTES = 4 * MAX_HEADER_BYTES;
+/** A byte of content may come with one byte of framing on average. */
+const MAX_BYTES_PER_CONTENT_BYTE = 2;
 
 interface RequestMessage {
   method: string;
@@ -35,7 +41,7 @@
   isReset: boolean;
   /** Whether a request was sent on it before the present one. */
   isReused: boolean;
-  /** Value of `socket.bytesRead` at which a response without further content is given up. */
+  /** Value of `socket.bytesRead` at which a response is given up unless more content comes. */
   overheadEndsBefore: number;
 }
 
@@ -136,6 +142,14 @@
     let controller: Dispatcher.DispatchController | undefined;
     let isEnded = false;
     let isClosing = message.isLast ?? false;
+    const parts = createPartCollector(
+      (part) => {
+        if (!isEnded) {
+          handler.onData(part);
+        }
+      },
+      (error) => controller?.abort(error),
+    );
     const end = (callback: () => void) => {
       if (!isEnded) {
         isEnded = true;
@@ -168,12 +182,11 @@
           }
         },
         onResponseData: (_, chunk) => {
-          resetOverheadLimit(connection);
-          if (!isEnded) {
-            handler.onData(chunk);
-          }
+          connection.overheadEndsBefore += MAX_BYTES_PER_CONTENT_BYTE * chunk.length;
+          parts.add(chunk);
         },
         onResponseEnd: () => {
+          parts.flush();
           if (connection.isReset) {
             end(() => handler.onError({ kind: 'lost', reason: 'reset' }));
             return;
@@ -186,6 +199,7 @@
           end(handler.onEnd);
         },
         onResponseError: (_, error) => {
+          parts.flush();
           dropConnection(connection, group);
           const reason = (error as { code?: string }).code ?? error.message;
           end(() => handler.onError({ kind: controller ? 'lost' : 'notSent', reason }));
@@ -224,7 +238,7 @@
   });
 }
 
-/** Ends a connection that delivers heads or framing without end. */
+/** Ends a connection that delivers much more than the content of bodies. */
 function endIfOverheadTooLarge({ socket, overheadEndsBefore }: Connection): void {
   if (socket && socket.bytesRead > overheadEndsBefore) {
     socket.destroy(new Error('a head or the framing of a body has no end'));
--- a/test/platform/endlessResponse.test.ts
+++ b/test/platform/endlessResponse.test.ts
@@ -20,6 +20,8 @@
 const MAX_KEPT_BYTES = 8 * 1024 * 1024;
 /** What the sockets of both ends hold of a stream that is not read. */
 const SOCKET_BUFFER_BYTES = 10 * 1024 * 1024;
+/** Average size of what a handler gets at once of a body that arrives fast. */
+const MIN_PART_BYTES = 1024;
 const COMMAND = { kind: 'load', model: 'm', adapter: 'a', version: 1 } as const;
 const CONDITION = { expectedSequence: 1, holder: 'vm', fence: 1 };
 const CALL = {
@@ -65,6 +67,31 @@
     });
   });
 
+  // Guards against a body in very small chunks, which keep many times their size in the heap.
+  [200, 500].forEach((status) => {
+    it(`does not fill the memory: a body of ${status} in chunks of one byte`, async () => {
+      const head = `HTTP/1.1 ${status} X\r\nTransfer-Encoding: chunked\r\n\r\n`;
+      const { address, closed } = await listen(head, '1\r\nx\r\n');
+      let partCount = 0;
+      let bytes = 0;
+      const reason = await new Promise((resolve, reject) => {
+        setTimeout(() => reject(new Error('no end')), GIVE_UP_MS).unref();
+        createConnections(() => {}).send(address, REQUEST, 4, {
+          onHead: () => {},
+          onData: (part) => {
+            partCount += 1;
+            bytes += part.length;
+          },
+          onEnd: () => resolve('end'),
+          onError: (error) => resolve(error.kind),
+        });
+      });
+      expect(reason).to.equal('lost');
+      await closed;
+      expect(bytes / partCount).to.be.greaterThan(MIN_PART_BYTES);
+    });
+  });
+
   // Guards against a client that keeps a response without end until its timeout or the end of the memory.
   const requests: [string, (address: string) => Promise<{ ok: boolean }>][] = [
     ['a report', (address) => createEngineControl().getReport({ id: 'i', address }, () => {})],
