--- a/src/keyValue/createEtcdKeyValue.ts
+++ b/src/keyValue/createEtcdKeyValue.ts
@@ -2,6 +2,7 @@
 import { match } from 'ts-pattern';
 import type Result from '../shared/Result';
 import createBoundedConnector from '../upstream/createBoundedConnector';
+import readResponseText from '../upstream/readResponseText';
 import type KeyValue from './KeyValue';
 import type KeyValueEntry from './KeyValueEntry';
 import type KeyValueError from './KeyValueError';
@@ -61,7 +62,7 @@
         headers: { 'content-type': 'application/json' },
         signal: AbortSignal.timeout(options.callTimeoutMs),
       });
-      const text = await response.body.text();
+      const text = await readResponseText(response.body);
       if (response.statusCode === TOO_MANY_REQUESTS) {
         return { ok: false, error: { kind: 'rateLimited' } };
       }
--- a/src/upstream/createHttpEngineClient.ts
+++ b/src/upstream/createHttpEngineClient.ts
@@ -5,6 +5,7 @@
 import createBoundedConnector from './createBoundedConnector';
 import type EngineError from './EngineError';
 import type EngineClient from './EngineClient';
+import readResponseText from './readResponseText';
 
 const COMMAND_TIMEOUT_MS = 15_000;
 const READ_TIMEOUT_MS = 2000;
@@ -71,7 +72,7 @@
         },
         signal: AbortSignal.timeout(timeoutMs),
       });
-      const text = await response.body.text();
+      const text = await readResponseText(response.body);
       if (response.statusCode >= 300) {
         return { ok: false, error: getStatusError(response.statusCode, text) };
       }
--- a/test/platform/endlessResponse.test.ts
+++ b/test/platform/endlessResponse.test.ts
@@ -20,6 +20,7 @@
 const MAX_KEPT_BYTES = 8 * 1024 * 1024;
 /** What the sockets of both ends hold of a stream that is not read. */
 const SOCKET_BUFFER_BYTES = 10 * 1024 * 1024;
+const MAX_HEAP_GROWTH_BYTES = 64 * 1024 * 1024;
 /** Average size of what a handler gets at once of a body that arrives fast. */
 const MIN_PART_BYTES = 1024;
 const COMMAND = { kind: 'load', model: 'm', adapter: 'a', version: 1 } as const;
@@ -144,6 +145,24 @@
     });
   });
 
+  // Guards against a client that keeps each chunk by itself, at many times its size, until its timeout.
+  requests.forEach(([request, send]) => {
+    it(`does not fill the heap: chunks of one byte in response to ${request}`, async () => {
+      const head = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
+      const { address, closed } = await listen(head, '1\r\nx\r\n');
+      const start = process.memoryUsage().heapUsed;
+      let highest = start;
+      const sampler = setInterval(() => {
+        highest = Math.max(highest, process.memoryUsage().heapUsed);
+      }, 5);
+      const results = await Promise.all(Array.from({ length: 4 }, () => send(address)));
+      clearInterval(sampler);
+      expect(results.filter(({ ok }) => ok)).to.deep.equal([]);
+      await closed;
+      expect(highest - start).to.be.lessThan(MAX_HEAP_GROWTH_BYTES);
+    });
+  });
+
   it('does not fill the memory: a body is forwarded as it comes, and cut at the deadline', async () => {
     const fixture = createTestAttempt({ kind: 'idempotent', isResumable: false });
     fixture.receive(200, MAX_READ_BYTES);
