--- a/src/gateway/ResponseHead.ts
+++ b/src/gateway/ResponseHead.ts
@@ -1,4 +1,5 @@
 import type StatedLimit from './StatedLimit';
+import type StatedLoad from './StatedLoad';
 import type StatedRest from './StatedRest';
 
 /** Status and headers of an upstream's response. */
@@ -16,6 +17,8 @@
   rest: StatedRest;
   /** Whether the upstream states that it ends if it has to turn many requests away. */
   isBrittle: boolean;
+  /** Undefined if the upstream states no load, or one that can't be read. */
+  load: StatedLoad | undefined;
 }
 
 export default ResponseHead;
--- a/src/manifest/Manifest.ts
+++ b/src/manifest/Manifest.ts
@@ -1,3 +1,4 @@
+import type Organisation from './Organisation';
 import type Route from './Route';
 import type Service from './Service';
 
@@ -6,6 +7,8 @@
   version: number;
   routes: Route[];
   services: ReadonlyMap<string, Service>;
+  /** Organisations by API key; undefined if callers need no key. */
+  organisations: ReadonlyMap<string, Organisation> | undefined;
   limits: {
     maxHeaderBytes: number;
     maxBodyBytes: number;
--- a/src/manifest/Route.ts
+++ b/src/manifest/Route.ts
@@ -17,6 +17,8 @@
   urgency: number;
   /** Whether an interrupted stream may be resumed at another upstream. */
   isResumable: boolean;
+  /** Whether requests need no API key. */
+  isPublic: boolean;
   targets: { service: string; weight: number }[];
 }
 
--- a/test/fleet/createManifest.ts
+++ b/test/fleet/createManifest.ts
@@ -22,6 +22,7 @@
         attempts: 1,
         urgency: 1,
         isResumable: false,
+        isPublic: false,
         targets: [{ service: 'models', weight: 1 }],
       },
       {
@@ -35,6 +36,7 @@
         attempts: 1,
         urgency: 1,
         isResumable: false,
+        isPublic: false,
         targets: [{ service: 'desk', weight: 1 }],
       },
       {
@@ -48,6 +50,7 @@
         attempts: 2,
         urgency: 1,
         isResumable: true,
+        isPublic: false,
         targets: [{ service: 'desk', weight: 1 }],
       },
       {
@@ -61,6 +64,7 @@
         attempts: 2,
         urgency: 1,
         isResumable: false,
+        isPublic: false,
         targets: [{ service: 'desk', weight: 1 }],
       },
     ],
@@ -80,6 +84,7 @@
         },
       ],
     ]),
+    organisations: undefined,
     limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   };
 }
--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -165,6 +165,7 @@
               : { kind: 'stated', perSecond: Number(headers.limit) },
           isLeaving: headers.leaving === '1',
           isBrittle: headers.brittle !== undefined,
+          load: undefined,
           rest:
             headers.rest === undefined
               ? { kind: 'none' }
@@ -182,6 +183,7 @@
           limit: { kind: 'none' },
           isLeaving: false,
           isBrittle: false,
+          load: undefined,
           rest: { kind: 'none' },
         }),
         send: (to, message) => isRunning() && send(address, to, message),
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -111,6 +111,7 @@
       kind: 'stream',
       attempts: 2,
       isResumable: true,
+      isPublic: false,
       urgency: 2,
       pauseObjectiveMs: 250,
       targets: [{ service: 's', weight: 9 }],
@@ -118,6 +119,46 @@
     expect(manifest.limits.maxBodyBytes).to.equal(2);
   });
 
+  it('decodes organisations by key, and passes over entries and values that are invalid', () => {
+    const decode = (entries: unknown) =>
+      decodeManifest(JSON.stringify({ ...MANIFEST, Tenants: entries }))!.organisations;
+    expect(decode(undefined)).to.equal(undefined);
+    expect(decode([])).to.equal(undefined);
+    const limited = { Unit: 'tokens', PlainTokens: 200, RatePerS: 4200, Burst: 8400 };
+    const organisations = decode([
+      { Name: 'o1', ApiKeys: ['k1', 'k2'], Prio: 1, ...limited },
+      { Name: 'o2', ApiKeys: ['k3'], RatePerS: 'many', Prio: null },
+      { ApiKeys: ['k4'] },
+      7,
+    ])!;
+    expect([...organisations.keys()]).to.deep.equal(['k1', 'k2', 'k3']);
+    expect(organisations.get('k2')).to.deep.equal({
+      name: 'o1',
+      urgency: 1,
+      allowance: { unit: 'tokens', perSecond: 4200, burst: 8400, defaultTokens: 200 },
+    });
+    const unlimited = { name: 'o2', urgency: undefined, allowance: undefined };
+    expect(organisations.get('k3')).to.deep.equal(unlimited);
+  });
+
+  it('decodes the load that an upstream states, and counts an invalid one as absent', () => {
+    const decodeLoad = (text: string) => decodeResponseHead(200, { 'server-load': text }).load;
+    expect(decodeLoad('3,1,8')).to.deep.equal({
+      running: 3,
+      waiting: 1,
+      slots: 8,
+      slowdown: undefined,
+    });
+    expect(decodeLoad('3, 0, 8, 250')?.slowdown).to.equal(2.5);
+    ['3,0,8,-1', '3,0,8,x', '3,0,8,1e9'].forEach((text) =>
+      expect(decodeLoad(text)).to.deep.include({ running: 3, slowdown: undefined }),
+    );
+    ['', '3', '3,0', '3,0,0', '-1,0,8', '1.5,0,8', '1e9,0,8', 'a,b,c'].forEach((text) =>
+      expect(decodeLoad(text), text).to.equal(undefined),
+    );
+    expect(decodeResponseHead(200, { 'server-load': '3,1,8' }).headers).to.deep.equal([]);
+  });
+
   it('decodes from a response head whether the request was run', () => {
     expect(decodeResponseHead(503, { 'not-executed': '1' }).isNotRun).to.equal(true);
     expect(decodeResponseHead(421, {}).isNotRun).to.equal(true);
--- a/test/platform/endlessResponse.test.ts
+++ b/test/platform/endlessResponse.test.ts
@@ -276,6 +276,7 @@
         limit: { kind: 'none' },
         isLeaving: false,
         isBrittle: false,
+        load: undefined,
         rest: { kind: 'none' },
       }),
       onHead: () => {},
--- a/test/platform/truncatedResponse.test.ts
+++ b/test/platform/truncatedResponse.test.ts
@@ -188,11 +188,13 @@
             attempts: 1,
             urgency: 0,
             isResumable: false,
+            isPublic: false,
             targets: [{ service: 's', weight: 1 }],
             ...route,
           },
         ],
         services: new Map(),
+        organisations: undefined,
         limits,
       }),
       place: async () => ({
--- a/test/routed/createTestRequest.ts
+++ b/test/routed/createTestRequest.ts
@@ -30,6 +30,7 @@
     attempts: 1,
     urgency: 0,
     isResumable: false,
+    isPublic: false,
     targets: [{ service: 's', weight: 1 }],
     ...overrides,
   };
@@ -193,6 +194,7 @@
                     limit: { kind: 'none' },
                     isLeaving: false,
                     isBrittle: false,
+                    load: undefined,
                     rest: { kind: 'none' },
                   }),
                   onHead: () => {},
--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -240,6 +240,7 @@
     const manifest = {
       version: 1,
       services: new Map(),
+      organisations: undefined,
       limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
       routes: [
         createRoute('/'),
@@ -376,6 +377,7 @@
     attempts: 1,
     urgency: 0,
     isResumable: false,
+    isPublic: false,
     targets: [{ service: 's', weight: 1 }],
   };
 }
--- a/test/routed/forwarding.test.ts
+++ b/test/routed/forwarding.test.ts
@@ -12,6 +12,7 @@
   limit: { kind: 'none' },
   isLeaving: false,
   isBrittle: false,
+  load: undefined,
   rest: { kind: 'none' },
 };
 const FAILED: AttemptOutcome = { kind: 'failed', head: HEAD, body: Buffer.from('no') };
