An owner does not wait again after a restart once the quiet time of its takeover has ended

Cause: the record of an engine said for good that it stems from a takeover, so that an owner that was restarted later waited LeaseMs and a margin again, and its engines loaded nothing meanwhile. After a loss of all VMs this holds for all engines that have ever changed their owner. Change: the owner writes the end of the quiet time into the record, under the condition that it is still its own; one write for each takeover.

--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -5,6 +5,9 @@
 import type Mirror from '../mirror/Mirror';
 import rankByRendezvous from '../shared/rankByRendezvous';
 import type Clock from '../shared/Clock';
+import createClockJumpDetector from './createClockJumpDetector';
+import type OwnershipRecord from './OwnershipRecord';
+import readOwnershipRecord from './readOwnershipRecord';
 
 const OWNER_PREFIX = '/baobablink/engines/';
 const MEMBER_PREFIX = '/baobablink/members/';
@@ -26,14 +29,10 @@
 const GIVE_UP_AFTER_MS = 1000;
 /** Holder in the record of an engine that its owner has given up. */
 const NO_HOLDER = '';
+/** Interval at which the end of a quiet time is written again if no response confirmed it. */
+const SETTLE_RETRY_MS = 2000;
 /** When another VM's claim came first, its record reaches this VM's mirror within this time. */
 const REFUSED_CLAIM_RETRY_MS = 2000;
-/**
- * A larger difference between the time of day and the steady clock indicates a clock step or a
- * suspension of the VM. The lease is then not relied on until it has been renewed once more.
- */
-const CLOCK_JUMP_THRESHOLD_MS = 200;
-
 interface OwnershipsHost extends Clock {
   keyValue: Pick<KeyValue, 'transact'>;
   mirror: Pick<Mirror, 'tryGet' | 'getAll' | 'getGeneration' | 'getRestoredAt'>;
@@ -61,15 +60,6 @@
   sendAfter: number;
 }
 
-/** The record of an engine's owner as the key-value service holds it. */
-interface OwnershipRecord {
-  holder: string;
-  incarnation: string;
-  generation: number;
-  isTakeover: boolean;
-  revision: number;
-}
-
 /**
  * Claims engines for this VM and tracks which ones it owns; only the owner of an engine sends
  * commands to it. A record names the owner of each engine. It changes only by a compare-and-swap
@@ -82,6 +72,7 @@
 ) {
   const owned = new Map<string, Ownership>();
   const claimAttemptedAt = new Map<string, number>();
+  const settleAttemptedAt = new Map<string, number>();
   /** Ownerships that ended as the key-value service came back from an older copy. */
   const interrupted = new Map<string, Ownership>();
   /** Records whose write was confirmed to this VM, and the time from which it may send commands. */
@@ -89,8 +80,7 @@
   /** Records that have been read, by engine. */
   const records = new Map<string, OwnershipRecord>();
   const startedAt = host.now();
-  let clockOffset = host.getTimeOfDay() - startedAt;
-  let leaseUncertainUntil = -Infinity;
+  const hasClockJumped = createClockJumpDetector(host, options.leaseMs / 2);
 
   /**
    * Ends the ownerships that are no longer valid and claims the engines without an owner for which
@@ -121,6 +111,7 @@
       }
       return;
     }
+    [...owned.keys()].filter((engine) => isSettleDue(now, engine)).forEach(settle);
     const holders = engines.map((engine) => tryGetRecord(engine)?.holder);
     engines
       .filter((engine) => !owned.has(engine))
@@ -195,6 +186,52 @@
     }
   }
 
+  /** Returns whether the quiet time after a takeover has ended and the record does not say so yet. */
+  function isSettleDue(now: number, engine: string): boolean {
+    const record = tryGetRecord(engine);
+    const { fence, sendAfter } = owned.get(engine)!;
+    return (
+      record?.isTakeover === true &&
+      record.revision === fence &&
+      now >= sendAfter &&
+      now - (settleAttemptedAt.get(engine) ?? -Infinity) > SETTLE_RETRY_MS
+    );
+  }
+
+  /**
+   * Records that the quiet time after a takeover has ended, so that this VM does not wait again after
+   * a restart: when all VMs restart at once, no engine would load an adapter for that time.
+   */
+  async function settle(engine: string): Promise<void> {
+    const ownership = owned.get(engine)!;
+    settleAttemptedAt.set(engine, host.now());
+    const { address: holder, incarnation } = options;
+    const generation = host.mirror.getGeneration();
+    const key = `${OWNER_PREFIX}${engine}`;
+    const response = await host.keyValue.transact({
+      compare: [{ key, modRevision: ownership.fence }],
+      writes: [
+        {
+          kind: 'put',
+          key,
+          value: JSON.stringify({ holder, incarnation, generation, isTakeover: false }),
+        },
+      ],
+      readOnFailure: [],
+    });
+    if (!response.ok || !response.value.succeeded) {
+      const reason = response.ok ? 'condition not met' : response.error.kind;
+      host.log('ownershipRefused', { engine, reason });
+      return;
+    }
+    settleAttemptedAt.delete(engine);
+    if (owned.get(engine) === ownership) {
+      const fence = response.value.revision;
+      owned.set(engine, { ...ownership, fence });
+      writtenRecords.set(engine, { revision: fence, sendAfter: ownership.sendAfter });
+    }
+  }
+
   async function claim(engine: string): Promise<void> {
     const record = tryGetRecord(engine);
     const key = `${OWNER_PREFIX}${engine}`;
@@ -325,7 +362,7 @@
     if (known?.revision === entry.revision) {
       return known;
     }
-    const record = readRecord(entry.value, entry.revision);
+    const record = readOwnershipRecord(entry.value, entry.revision);
     records.set(engine, record);
     return record;
   }
@@ -353,34 +390,5 @@
     return canSend ? ownership.fence : undefined;
   }
 
-  /**
-   * Returns whether the time of day has recently jumped relative to the steady clock, which does
-   * not advance while the VM is suspended.
-   */
-  function hasClockJumped(now: number): boolean {
-    const offset = host.getTimeOfDay() - now;
-    if (Math.abs(offset - clockOffset) > CLOCK_JUMP_THRESHOLD_MS) {
-      leaseUncertainUntil = now + options.leaseMs / 2;
-      host.log('clockJumped', { byMs: Math.round(offset - clockOffset) });
-    }
-    clockOffset = offset;
-    return now < leaseUncertainUntil;
-  }
-
   return { reconcile, handleClaim, tryGetFence, getOwned: () => [...owned.keys()] };
 }
-
-function readRecord(value: string, revision: number): OwnershipRecord {
-  const {
-    holder,
-    incarnation,
-    generation = 0,
-    isTakeover = false,
-  } = JSON.parse(value) as {
-    holder: string;
-    incarnation: string;
-    generation?: number;
-    isTakeover?: boolean;
-  };
-  return { holder, incarnation, generation, isTakeover, revision };
-}
--- a/test/routed/ownerships.test.ts
+++ b/test/routed/ownerships.test.ts
@@ -70,6 +70,36 @@
     expect(fixture.clock.now() - diedAt).to.be.greaterThan(LEASE_MS);
   });
 
+  it('is used at once by an owner that restarts after the quiet time of its takeover', async () => {
+    const fixture = createTestVms(2);
+    await fixture.run(4000);
+    const [deadVm] = fixture.getOwners('e1');
+    const successor = [...fixture.vms.keys()].find((vm) => vm !== deadVm)!;
+    fixture.killVm(deadVm);
+    await fixture.run(LEASE_MS + 2000);
+    const fence = fixture.getFence(successor, 'e1')!;
+    fixture.removeVm(successor);
+    fixture.restartVm(successor);
+    await fixture.run(600);
+    expect(fixture.getFence(successor, 'e1')).to.be.greaterThan(fence);
+  });
+
+  it('stays with an owner that gets no response to its claim, nor to the end of its quiet time', async () => {
+    const fixture = createTestVms(2);
+    await fixture.run(4000);
+    const [deadVm] = fixture.getOwners('e1');
+    const successor = [...fixture.vms.keys()].find((vm) => vm !== deadVm)!;
+    fixture.killVm(deadVm);
+    await fixture.run(1000);
+    fixture.loseResponsesFor(LEASE_MS + 1000);
+    await fixture.run(LEASE_MS + 1000);
+    expect(fixture.getOwners('e1')).to.deep.equal([successor]);
+    const fence = fixture.getFence(successor, 'e1')!;
+    await fixture.run(3000);
+    expect(fixture.getOwners('e1')).to.deep.equal([successor]);
+    expect(fixture.getFence(successor, 'e1')).to.be.at.least(fence);
+  });
+
   it('stays where it is if no VM reaches an upstream', async () => {
     const fixture = createTestVms(2);
     await fixture.run(4000);
