A conflict is no proof that a command was executed if a late load may have caused it (LIMIT)

Change: while another command with the same expected count is unanswered, such a conflict leaves both uncertain until the report shows the count.

--- a/src/engines/createCommandSender.ts
+++ b/src/engines/createCommandSender.ts
@@ -28,6 +28,11 @@
    * with the same expected sequence can be executed any more.
    */
   onSequenceAdvanced(sequence: number): void;
+  /**
+   * Returns whether an earlier command with the same expected sequence has no response yet, so that the
+   * engine may have executed that one.
+   */
+  isOtherUnanswered(sequence: number): boolean;
   countCommand(kind: string, outcome: string): void;
   log: Log;
 }
@@ -74,7 +79,8 @@
         sequence += 1;
         host.onSequenceAdvanced(expectedSequence);
       }
-      if (result !== 'noAnswer' || sends === maxSends) {
+      const isConflict = !response.ok && response.error.kind === 'conflict';
+      if (result !== 'noAnswer' || isConflict || sends === maxSends) {
         return result;
       }
     }
@@ -82,7 +88,8 @@
 
   /**
    * Returns the result that a response stands for. A conflict on a retry means that the earlier
-   * send was executed: once this owner has advanced the command count, no other VM can advance it.
+   * send was executed: once this owner has advanced the command count, no other VM can advance it. If
+   * another command of this owner may have advanced it, neither counts as executed or not.
    */
   function getResult(
     commandName: string,
@@ -93,12 +100,15 @@
       return response.value;
     }
     const hasAdvancedSequence = initialSequence !== undefined && sequence > initialSequence;
-    const wasAccepted =
+    const hasAdvanced =
       response.error.kind === 'conflict' &&
       isRetry &&
       hasAdvancedSequence &&
       commandName !== 'confirm';
-    return wasAccepted ? 'accepted' : response.error.kind;
+    if (!hasAdvanced) {
+      return response.error.kind;
+    }
+    return host.isOtherUnanswered(sequence) ? 'noAnswer' : 'accepted';
   }
 
   return { setSequence, send, getSequence: () => sequence };
--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -75,6 +75,10 @@
   const commandSender = createCommandSender(
     {
       ...host,
+      isOtherUnanswered: (sequence) =>
+        slots.some(
+          ({ state, sentAtSequence }) => state === 'uncertain' && sentAtSequence === sequence,
+        ),
       onSequenceAdvanced: (sequence) => {
         slots = slots.filter(
           (slot) => slot.state !== 'uncertain' || slot.sentAtSequence !== sequence,
--- a/test/routed/engine.test.ts
+++ b/test/routed/engine.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import createRandom from '../../bench/createRandom';
 import createEngine from '../../src/engines/createEngine';
 import type EngineFault from '../../src/engines/EngineFault';
 import type EngineCommand from '../../src/engines/EngineCommand';
@@ -76,6 +77,40 @@
     expect(fake.lostResponses).to.be.greaterThan(5);
   });
 
+  it('takes a conflict for no proof of an unload if a late load may have caused it', async () => {
+    const { clock, engine, fake } = createTestEngine();
+    requestLoad(engine, 'a1');
+    requestLoad(engine, 'a2');
+    await clock.advance(1000);
+    fake.getLateMs = ({ kind, adapter }) =>
+      kind === 'load' && adapter === 'a3' ? LATE_COMMAND_MS : undefined;
+    requestLoad(engine, 'a3');
+    await clock.advance(LATE_COMMAND_MS + 100);
+    let unloadCount = 0;
+    fake.getLateMs = ({ kind }) => {
+      unloadCount += kind === 'unload' ? 1 : 0;
+      return kind === 'unload' && unloadCount === 1 ? Infinity : undefined;
+    };
+    requestLoad(engine, 'a4');
+    requestLoad(engine, 'a5');
+    await clock.advance(3000);
+    expect(unloadCount).to.be.greaterThan(1);
+    expect(fake.crashes).to.equal(0);
+  });
+
+  it('never exceeds the adapter slots if half of all commands run seconds late', async () => {
+    for (let seed = 1; seed <= 10; seed += 1) {
+      const { clock, engine, fake } = createTestEngine();
+      const random = createRandom(seed);
+      fake.getLateMs = () => (random() < 0.5 ? 2000 + random() * 10_000 : undefined);
+      for (let index = 0; index < 200; index += 1) {
+        requestLoad(engine, `a${Math.floor(random() * 12)}`);
+        await clock.advance(300);
+      }
+      expect(fake.crashes, `seed ${seed}`).to.equal(0);
+    }
+  });
+
   it('makes an adapter resident in time although the response to its load was lost', async () => {
     const { clock, engine, fake, getState, inUse } = createTestEngine();
     for (let index = 0; index < 8; index += 1) {
@@ -223,6 +258,8 @@
     areUnloadsSilent: false,
     /** Whether the engine responds to no command and no report request. */
     isUnresponsive: false,
+    /** Returns after which time a command without a response is executed; undefined if it has one, Infinity if it is lost. */
+    getLateMs: (() => undefined) as (command: EngineCommand) => number | undefined,
     /** Earlier states; reports are delayed by `REPORT_LAG_MS`. */
     pastStates: [] as { at: number; sequence: number; resident: string[]; loading: string[] }[],
   };
@@ -294,6 +331,13 @@
         if (fake.isUnresponsive) {
           return { ok: false, error: { kind: 'noAnswer', reason: 'silent' } };
         }
+        const lateMs = fake.getLateMs(command);
+        if (lateMs !== undefined) {
+          if (Number.isFinite(lateMs)) {
+            clock.setTimer(lateMs, () => executeCommand(command, condition.expectedSequence));
+          }
+          return { ok: false, error: { kind: 'noAnswer', reason: 'lost' } };
+        }
         if (fake.areUnloadsSilent && command.kind === 'unload') {
           clock.setTimer(LATE_COMMAND_MS / 2, () =>
             executeCommand(command, condition.expectedSequence),
