A VM that has just started waits for owners to be known before it refuses a load

Change: in the first 4 s such a load is looked at again each 50 ms, as long as its request can still be served in time.

--- a/src/engines/createPendingLoads.ts
+++ b/src/engines/createPendingLoads.ts
@@ -8,6 +8,8 @@
  * requested from another engine: more than that of a load, also while many are in progress.
  */
 const LOAD_TIMEOUT_MS = 600;
+/** Interval at which a VM that has just started looks again for an engine that can load. */
+const TARGET_CHECK_MS = 50;
 /** Engines that are tried for one adapter before its requests are refused. */
 const MAX_ENGINES_TRIED = 3;
 
@@ -26,6 +28,8 @@
 interface PendingLoadsHost extends Clock {
   /** Returns the engines that serve the model and can load the adapter. */
   getLoadTargets(now: number, wanted: WantedAdapter): LoadTarget[];
+  /** Returns whether engines are about to be known of which this VM does not know yet if they can load. */
+  isTargetExpected(now: number, wanted: WantedAdapter): boolean;
   /** Requests the load from the owner of an engine; returns false if it can't be reached. */
   sendRequest(engine: string, wanted: WantedAdapter, waitMs: number): boolean;
   isServable(now: number, wanted: WantedAdapter): boolean;
@@ -37,6 +41,8 @@
   /** Engine from which the load is requested at present. */
   engine: string | undefined;
   triedEngines: Set<string>;
+  /** Time until which the load waits for an engine to be known that can load. */
+  targetsUntil: number;
   waiters: Set<(isLoaded: boolean) => void>;
   cancelTimer: () => void;
 }
@@ -63,6 +69,7 @@
       wanted,
       engine: undefined,
       triedEngines: new Set(),
+      targetsUntil: host.now() + wanted.slotWaitMs,
       waiters: new Set([...(existing?.waiters ?? []), waiter]),
       cancelTimer: () => {},
     };
@@ -81,7 +88,7 @@
     const target =
       triedEngines.size < MAX_ENGINES_TRIED ? chooseLoadTarget(wanted.key, targets) : undefined;
     if (!target) {
-      complete(pending, false);
+      waitForTarget(now, pending);
       return;
     }
     triedEngines.add(target.id);
@@ -104,6 +111,21 @@
     });
   }
 
+  /**
+   * Looks again soon if this VM has started too recently to know which engines can load; else ends the
+   * load. After a start of all VMs, the first requests would be refused before any owner is known.
+   */
+  function waitForTarget(now: number, pending: PendingLoad): void {
+    const { wanted, triedEngines, targetsUntil } = pending;
+    if (triedEngines.size > 0 || now >= targetsUntil || !host.isTargetExpected(now, wanted)) {
+      complete(pending, false);
+      return;
+    }
+    Object.assign(pending, {
+      cancelTimer: host.setTimer(TARGET_CHECK_MS, () => requestFromNextEngine(pending)),
+    });
+  }
+
   function complete(pending: PendingLoad, isLoaded: boolean): void {
     pending.cancelTimer();
     const loadKey = getLoadKey(pending.wanted);
--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -364,6 +364,14 @@
     });
   }
 
+  /** Returns whether the owner of an engine with the model has not published the engine's state yet. */
+  function isTargetUnknown(wanted: { model: string }): boolean {
+    return upstreams.getAll().some(({ id }) => {
+      const state = engineStates.tryGet(id);
+      return state?.fence === 0 && state.models.some(({ name }) => name === wanted.model);
+    });
+  }
+
   function refuse(
     request: ActiveRequest,
     kind: 'noUpstream' | 'busy' | 'noAdapter',
@@ -415,5 +423,5 @@
     };
   }
 
-  return { place, getLoadTargets };
+  return { place, getLoadTargets, isTargetUnknown };
 }
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -57,6 +57,11 @@
 const USAGE_INTERVAL_MS = 250;
 /** Interval at which owners repeat the states of their engines, for VMs that missed a message. */
 const STATES_INTERVAL_MS = 2000;
+/**
+ * Owners repeat the states of their engines within this time of a start, and a restarted owner has its
+ * engines back.
+ */
+const MAX_STATES_UNKNOWN_MS = 2 * STATES_INTERVAL_MS;
 const OWNERSHIP_INTERVAL_MS = 250;
 const PERMIT_ISSUER_INTERVAL_MS = 250;
 /** Interval at which limits of upstreams are repeated, for VMs that missed them. */
@@ -283,6 +288,8 @@
   const pendingLoads = createPendingLoads({
     ...host,
     getLoadTargets: placement.getLoadTargets,
+    isTargetExpected: (now, wanted) =>
+      now - startedAt < MAX_STATES_UNKNOWN_MS && placement.isTargetUnknown(wanted),
     sendRequest: (engine, wanted, waitMs) => {
       const owner = tryGetOwner(engine);
       const { model, adapter, version, urgency } = wanted;
