Identify organisations by API key and state them to upstreams

Routes without Public serve only requests whose key is in the manifest in force; others get 401 unknownKey. Upstreams get the organisation's name, and neither the key nor the caller's own Tenant. Requests that other VMs carry state the organisation with a proof derived from the cluster key. The organisation's urgency replaces that of the route. FailClosed refuses requests that need a key while the manifest is not confirmed.

--- a/src/entry/RoutedEntryOptions.ts
+++ b/src/entry/RoutedEntryOptions.ts
@@ -20,6 +20,11 @@
   takeoverDelayMs: number;
   /** Returns the limits on retries; they may change while the VM runs. */
   getRetryLimits(): { ratio: number; windowMs: number; reserve: number };
+  /**
+   * Returns the time without confirmation of the manifest after which requests that need a key are
+   * refused, in milliseconds; without it they are always served.
+   */
+  getMaxUnconfirmedMs?(): number;
 }
 
 export default RoutedEntryOptions;
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -26,6 +26,7 @@
 import watchLoopDelay from '../shared/watchLoopDelay';
 import createUpstreamHealth from '../upstream/createUpstreamHealth';
 import createUpstreams from '../upstream/createUpstreams';
+import createIdentification from '../organisations/createIdentification';
 import createPrefillScheduler from '../prefill/createPrefillScheduler';
 import createPrefillClient from '../prefill/createPrefillClient';
 import createBroadcaster from '../broadcast/createBroadcaster';
@@ -409,9 +410,14 @@
     },
     options,
   );
+  const identification = createIdentification({
+    getUnconfirmedMs: (now) => now - mirror.getConfirmedAt(),
+    getMaxUnconfirmedMs: () => options.getMaxUnconfirmedMs?.() ?? Infinity,
+  });
   const gateway = createGateway({
     ...host,
     getManifest: () => manifest,
+    identify: identification.identify,
     place: placement.place,
     attempt: attempts.attempt,
     isPartitioned: reach.isPartitioned,
--- a/src/forwarding/createForwarder.ts
+++ b/src/forwarding/createForwarder.ts
@@ -10,7 +10,7 @@
 import chooseCarrier from './chooseCarrier';
 
 /** Codes of refusals that concern the carrier alone, so that another one may serve the request. */
-const CARRIER_REFUSALS = new Set(['partitioned', 'notReady']);
+const CARRIER_REFUSALS = new Set(['partitioned', 'notReady', 'unconfirmed']);
 
 interface Controls {
   abort(): void;
--- a/src/gateway/ActiveRequest.ts
+++ b/src/gateway/ActiveRequest.ts
@@ -1,3 +1,4 @@
+import type Organisation from '../manifest/Organisation';
 import type Route from '../manifest/Route';
 import type ResponseFraming from '../upstream/ResponseFraming';
 import type CallerRequest from './CallerRequest';
@@ -7,6 +8,8 @@
 interface ActiveRequest {
   callerRequest: CallerRequest;
   route: Route;
+  /** Undefined if callers need no key, and on a public route without a known one. */
+  organisation?: Organisation;
   service: string;
   response: ResponseWriter;
   arrivedAt: number;
--- a/src/gateway/CallerRequest.ts
+++ b/src/gateway/CallerRequest.ts
@@ -6,10 +6,20 @@
   /** Path and query as the caller sent them. */
   path: string;
   host: string;
-  /** Identity that the caller states; undefined if it states none. */
+  /** Name of the organisation, or the identity that the caller states if callers need no key. */
   caller: string | undefined;
   /** Headers that are forwarded to the upstream unchanged. */
   headers: [string, string][];
+  /**
+   * How the caller identifies itself, as decoded; the gateway removes it once it has determined the
+   * organisation. `allHeaders` are `headers` and those of the caller's identity, in their order.
+   */
+  credentials?: { apiKey: string | undefined; allHeaders: [string, string][] };
+  /**
+   * Set once the key was checked, by this VM or the one that forwards the request. The organisation is
+   * undefined if a public route was used without a known key.
+   */
+  verified?: { organisation: string | undefined };
   /** Time that the caller waits for the response; undefined if it states none. */
   deadlineMs: number | undefined;
   model: string | undefined;
--- a/src/gateway/Refusal.ts
+++ b/src/gateway/Refusal.ts
@@ -3,6 +3,10 @@
   /** `partitioned`: this VM reaches no upstream, and another VM forwarded the request to it. */
   | { kind: 'notReady' | 'partitioned'; retryAfterMs: number }
   | { kind: 'noRoute' }
+  /** The route needs the key of an organisation, and the request has none that is in force. */
+  | { kind: 'unknownKey' }
+  /** The manifest was not confirmed for so long that its keys may have been withdrawn. */
+  | { kind: 'unconfirmed'; retryAfterMs: number }
   | { kind: 'badRequest'; detail: string }
   | { kind: 'headerTooLarge' }
   | { kind: 'bodyTooLarge' }
--- a/src/gateway/createGateway.ts
+++ b/src/gateway/createGateway.ts
@@ -2,6 +2,8 @@
 import type Metrics from '../metrics/Metrics';
 import type Manifest from '../manifest/Manifest';
 import type Route from '../manifest/Route';
+import type createIdentification from '../organisations/createIdentification';
+import createBoundedLabels from '../organisations/createBoundedLabels';
 import pickTarget from '../manifest/pickTarget';
 import tryGetRoute from '../manifest/tryGetRoute';
 import getTraits from '../quarantine/getTraits';
@@ -21,12 +23,16 @@
 import serveRequest from './serveRequest';
 import writeRefusal from './writeRefusal';
 
+/** Organisations that have a label of their own in metrics; the page on hard load states the bound. */
+const MAX_ORGANISATION_LABELS = 64;
+const NO_ORGANISATION_LABEL = 'none';
 const NOT_READY_RETRY_AFTER_MS = 500;
 /** Short, since another VM can serve the retry immediately. */
 const LEAVING_RETRY_AFTER_MS = 50;
 
 interface GatewayHost extends Clock {
   getManifest(): Manifest | undefined;
+  identify: ReturnType<typeof createIdentification>['identify'];
   place(
     request: ActiveRequest,
     excludedUpstreams: ReadonlySet<string>,
@@ -58,30 +64,38 @@
  */
 export default function createGateway(host: GatewayHost) {
   const active = new Set<ActiveRequest>();
+  const getOrganisationLabel = createBoundedLabels(MAX_ORGANISATION_LABELS);
   let plannedStop: PlannedStop | undefined;
 
   /** Serves one request; returns a function to call when the caller has disconnected. */
   function handle(
     arrivedAt: number,
-    callerRequest: CallerRequest,
+    sentRequest: CallerRequest,
     response: ResponseWriter,
   ): () => void {
     const manifest = host.getManifest();
     if (!manifest) {
-      refuse(callerRequest, response, { kind: 'notReady', retryAfterMs: NOT_READY_RETRY_AFTER_MS });
+      refuse(sentRequest, response, { kind: 'notReady', retryAfterMs: NOT_READY_RETRY_AFTER_MS });
       return () => {};
     }
-    if (callerRequest.forwarded && host.isPartitioned()) {
+    if (sentRequest.forwarded && host.isPartitioned()) {
       const retryAfterMs = getRetryAfterMs(host.random());
-      refuse(callerRequest, response, { kind: 'partitioned', retryAfterMs });
+      refuse(sentRequest, response, { kind: 'partitioned', retryAfterMs });
       return () => {};
     }
-    const [path] = callerRequest.path.split('?');
-    const route = tryGetRoute(manifest, callerRequest.host, path);
+    const [path] = sentRequest.path.split('?');
+    const route = tryGetRoute(manifest, sentRequest.host, path);
     if (!route) {
-      refuse(callerRequest, response, { kind: 'noRoute' });
+      refuse(sentRequest, response, { kind: 'noRoute' });
       return () => {};
     }
+    const identified = host.identify(arrivedAt, manifest, route, sentRequest);
+    if (!identified.ok) {
+      const unidentified = { ...sentRequest, verified: { organisation: undefined } };
+      refuse(unidentified, response, identified.error);
+      return () => {};
+    }
+    const { callerRequest, organisation } = identified.value;
     const timeoutMs = Math.min(route.timeoutMs, callerRequest.deadlineMs ?? Infinity);
     if (plannedStop && !isAdmittedBeforeExit(arrivedAt, plannedStop, route.kind, timeoutMs)) {
       refuse(callerRequest, response, { kind: 'notReady', retryAfterMs: LEAVING_RETRY_AFTER_MS });
@@ -107,7 +121,9 @@
       route: {
         ...route,
         attempts: Math.min(route.attempts, callerRequest.forwarded?.attempts ?? Infinity),
+        urgency: organisation?.urgency ?? route.urgency,
       },
+      organisation,
       service,
       response,
       arrivedAt,
@@ -165,6 +181,7 @@
     host.metrics.inFlight.set(active.size);
     const now = host.now();
     const { kind, ...details } = outcome;
+    countByOrganisation(request.callerRequest, kind);
     if (kind === 'answered') {
       host.metrics.answers.inc({ kind: request.route.kind });
       host.metrics.firstToken.observe(((request.firstByteAt ?? now) - request.arrivedAt) / 1000);
@@ -177,6 +194,7 @@
       end: kind,
       ...details,
       route: request.route.name,
+      organisation: request.organisation?.name,
       manifest: version,
       service: request.service,
       adapter: request.callerRequest.adapter,
@@ -201,21 +219,34 @@
 
   /** Refuses a request before it is placed at an upstream. */
   function refuse(
-    callerRequest: Pick<CallerRequest, 'id' | 'path'>,
+    callerRequest: Pick<CallerRequest, 'id' | 'path' | 'verified' | 'forwarded'>,
     response: ResponseWriter,
     refusal: Refusal,
   ): void {
     const status = writeRefusal(response, refusal);
     host.metrics.refusals.inc({ reason: refusal.kind });
+    countByOrganisation(callerRequest, 'refused');
     host.log('requestRefused', {
       request: callerRequest.id,
       end: 'refused',
       status,
       reason: refusal.kind,
+      organisation: callerRequest.verified?.organisation,
       manifest: host.getManifest()?.version,
     });
   }
 
+  /** Counts a request of a caller; the VM that forwards a request has counted it. */
+  function countByOrganisation(
+    callerRequest: Pick<CallerRequest, 'verified' | 'forwarded'>,
+    outcome: string,
+  ): void {
+    if (callerRequest.verified && !callerRequest.forwarded) {
+      const name = callerRequest.verified.organisation ?? NO_ORGANISATION_LABEL;
+      host.metrics.organisationRequests.inc({ organisation: getOrganisationLabel(name), outcome });
+    }
+  }
+
   /** From now on, takes only requests that can end before this VM exits. */
   function startLeaving(newStop: PlannedStop): void {
     plannedStop = newStop;
--- a/src/gateway/writeRefusal.ts
+++ b/src/gateway/writeRefusal.ts
@@ -12,6 +12,7 @@
   const status = match(refusal.kind)
     .with('noRoute', () => 404)
     .with('badRequest', () => 400)
+    .with('unknownKey', () => 401)
     .with('headerTooLarge', () => 431)
     .with('bodyTooLarge', () => 413)
     .with('slowBody', () => 408)
@@ -27,6 +28,7 @@
         'deadline',
         'blocked',
         'unknownOrigin',
+        'unconfirmed',
       ),
       () => 503,
     )
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -20,6 +20,11 @@
     registry,
     requests: counter('requests_total', 'Requests received, by kind.', ['kind']),
     answers: counter('answers_total', 'Requests answered completely, by kind.', ['kind']),
+    organisationRequests: counter(
+      'organisation_requests_total',
+      'Requests that needed or had a key, by organisation and outcome.',
+      ['organisation', 'outcome'],
+    ),
     refusals: counter('refusals_total', 'Refusals, by reason.', ['reason']),
     retries: counter('retries_total', 'Retries, by reason.', ['reason']),
     droppedChunks: counter('dropped_chunks_total', 'Chunks dropped, by reason.', ['reason']),
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -129,6 +129,9 @@
       { Name: 'o1', ApiKeys: ['k1', 'k2'], Prio: 1, ...limited },
       { Name: 'o2', ApiKeys: ['k3'], RatePerS: 'many', Prio: null },
       { ApiKeys: ['k4'] },
+      // A name that can't be sent in a header, which would end each request in an error.
+      { Name: 'o\r\nX: 1', ApiKeys: ['k5'] },
+      { Name: 'o'.repeat(101), ApiKeys: ['k6'] },
       7,
     ])!;
     expect([...organisations.keys()]).to.deep.equal(['k1', 'k2', 'k3']);
@@ -137,6 +140,9 @@
       urgency: 1,
       allowance: { unit: 'tokens', perSecond: 4200, burst: 8400, defaultTokens: 200 },
     });
+    [-1, 1e9, 0.5, '1'].forEach((Prio) =>
+      expect(decode([{ Name: 'o', ApiKeys: ['k'], Prio }])!.get('k')?.urgency).to.equal(undefined),
+    );
     const unlimited = { name: 'o2', urgency: undefined, allowance: undefined };
     expect(organisations.get('k3')).to.deep.equal(unlimited);
   });
--- a/test/platform/truncatedResponse.test.ts
+++ b/test/platform/truncatedResponse.test.ts
@@ -8,6 +8,7 @@
 import sendAttempt from '../../src/gateway/sendAttempt';
 import type Route from '../../src/manifest/Route';
 import createMetrics from '../../src/metrics/createMetrics';
+import createIdentification from '../../src/organisations/createIdentification';
 import createConnections from '../../src/upstream/createConnections';
 import createHttpServiceClient from '../../src/upstream/createHttpServiceClient';
 
@@ -174,6 +175,7 @@
     };
     const gateway = createGateway({
       ...CLOCK,
+      ...createIdentification({ getUnconfirmedMs: () => 0, getMaxUnconfirmedMs: () => Infinity }),
       getManifest: () => ({
         version: 1,
         routes: [
