--- a/scripts/platform/createPlatformTrial.ts
+++ b/scripts/platform/createPlatformTrial.ts
@@ -40,6 +40,8 @@
   network?: number;
   /** Bundle of the product that the VMs run; built from this checkout if undefined. */
   bundle?: string;
+  /** Further arguments of Node.js for the VMs. */
+  nodeArguments?: readonly string[];
 }) {
   const network = options.network ?? 60;
 
@@ -129,7 +131,8 @@
 
     writeFileSync(file, getSettings(name, getStoreAddress(index)));
     const bundle = bundles.get(name) ?? options.bundle ?? 'target/baobablink.cjs';
-    spawnChild(name, ['--import', PARTITION_SCRIPT, bundle, 'serve-platform'], {
+    const nodeArguments = [...(options.nodeArguments ?? []), '--import', PARTITION_SCRIPT];
+    spawnChild(name, [...nodeArguments, bundle, 'serve-platform'], {
       TRIAL_PARTITION_FILE: getPartitionFile(name),
       TRIAL_SERVER_PREFIX: `127.${network}.3.`,
       BAOBABLINK_SETTINGS_FILE: file,
