Look up holders of adapters and owners of engines without a scan

Load targets were computed twice if there was none. Change: engine states keep the holders by adapter key; an owner's record is decoded once; the second computation of load targets runs only if some upstream states a limit.

--- a/src/engines/createEngineStates.ts
+++ b/src/engines/createEngineStates.ts
@@ -8,6 +8,30 @@
   /** Loads in progress, by engine. */
   const loadCounts = new Map<string, number>();
   let loadCount = 0;
+  /** Engines whose state names an adapter as resident, or a model, by adapter key or model name. */
+  const holders = new Map<string, Set<string>>();
+
+  function setState(engine: string, state: EngineState | undefined): void {
+    const former = states.get(engine);
+    if (former) {
+      getHeldKeys(former).forEach((key) => {
+        const engines = holders.get(key);
+        engines?.delete(engine);
+        if (engines?.size === 0) {
+          holders.delete(key);
+        }
+      });
+    }
+    if (!state) {
+      states.delete(engine);
+      return;
+    }
+    states.set(engine, state);
+    getHeldKeys(state).forEach((key) => {
+      const engines = holders.get(key) ?? new Set();
+      holders.set(key, engines.add(engine));
+    });
+  }
 
   /** Applies a state that an owner has published. Returns false if it is not newer. */
   function applyState(state: EngineState): boolean {
@@ -21,7 +45,7 @@
     if (isOlder) {
       return false;
     }
-    states.set(state.engine, state);
+    setState(state.engine, state);
     setLoadCount(
       state.engine,
       state.adapters.filter((adapter) => adapter.state === 'loading').length,
@@ -41,7 +65,7 @@
       return;
     }
     setLoadCount(upstream.id, 0);
-    states.set(upstream.id, {
+    setState(upstream.id, {
       engine: upstream.id,
       startedAt: upstream.startedAt,
       fence: 0,
@@ -69,6 +93,11 @@
     return entry !== undefined && entry.version >= version;
   }
 
+  /** Returns the engines for which `isResident` returns true, without looking at the others. */
+  function getHolders(key: string, version: number): string[] {
+    return [...(holders.get(key) ?? [])].filter((engine) => isResident(engine, key, version));
+  }
+
   /** Returns whether the owner has published that the engine does not respond. */
   function isUnreachable(engine: string): boolean {
     return states.get(engine)?.isReachable === false;
@@ -86,7 +115,7 @@
   function removeAdapter(engine: string, key: string): void {
     const state = states.get(engine);
     if (state) {
-      states.set(engine, {
+      setState(engine, {
         ...state,
         adapters: state.adapters.filter((adapter) => adapter.key !== key),
       });
@@ -102,12 +131,20 @@
     removeAdapter,
     applyRegistration,
     isResident,
+    getHolders,
     isUnreachable,
     getLoadCountElsewhere,
     tryGet: (engine: string) => states.get(engine),
     remove: (engine: string) => {
       setLoadCount(engine, 0);
-      states.delete(engine);
+      setState(engine, undefined);
     },
   };
 }
+
+function getHeldKeys({ adapters, models }: EngineState): string[] {
+  return [
+    ...adapters.filter(({ state }) => state === 'resident').map(({ key }) => key),
+    ...models.map(({ name }) => name),
+  ];
+}
--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -313,7 +313,9 @@
       );
     const unlimited = usable.filter((upstream) => !rateLimiting.isLimited(upstream));
     const targets = getLoadTargetsAmong(now, wanted, unlimited);
-    return targets.length > 0 ? targets : getLoadTargetsAmong(now, wanted, usable);
+    return targets.length > 0 || unlimited.length === usable.length
+      ? targets
+      : getLoadTargetsAmong(now, wanted, usable);
   }
 
   /**
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -2,6 +2,7 @@
 import createEngineStates from '../engines/createEngineStates';
 import createOwnedEngines from '../engines/createOwnedEngines';
 import createPendingLoads from '../engines/createPendingLoads';
+import createOwnerLookup from '../engines/createOwnerLookup';
 import createOwnerships from '../engines/createOwnerships';
 import getMaxConcurrentLoads from '../engines/getMaxConcurrentLoads';
 import getAdapterKey from '../engines/getAdapterKey';
@@ -109,6 +110,7 @@
     isOutdated: (change, known) => isOutdated(host.decodeChange(change), host.decodeChange(known)),
     onChange: applyChange,
   });
+  const tryGetOwner = createOwnerLookup(mirror.tryGet);
   const members = createMembers(
     {
       ...host,
@@ -298,15 +300,15 @@
       return owner !== undefined && sendOrDeliver(owner, message);
     },
     isServable: (now, wanted) =>
-      upstreams
-        .getAll()
-        .some(
-          (upstream) =>
-            (wanted.softwareVersion === undefined ||
-              getSoftwareVersion(upstream) === wanted.softwareVersion) &&
-            engineStates.isResident(upstream.id, wanted.key, wanted.version) &&
-            readiness.isOpen(now, upstream),
-        ),
+      engineStates.getHolders(wanted.key, wanted.version).some((engine) => {
+        const upstream = upstreams.tryGet(engine);
+        return (
+          upstream !== undefined &&
+          (wanted.softwareVersion === undefined ||
+            getSoftwareVersion(upstream) === wanted.softwareVersion) &&
+          readiness.isOpen(now, upstream)
+        );
+      }),
   });
   const prefillClient = createPrefillClient({
     ...host,
@@ -532,12 +534,6 @@
     });
   }
 
-  function tryGetOwner(engine: string): string | undefined {
-    const value = mirror.tryGet(`/baobablink/engines/${engine}`)?.value;
-    const holder = value && (JSON.parse(value) as { holder: string }).holder;
-    return holder === '' ? undefined : holder;
-  }
-
   function sendOrDeliver(to: string, message: Message): boolean {
     if (to === address) {
       receive(address, message);
