Allowances of organisations over all VMs: one elected VM lends amounts, refusals are 429

A holder is elected by votes that expire, keeps the accounts and lends for a short time. What is unused is bounded, so that no window exceeds the bound of the settings, whatever fails. The gateway acquires once for each request of a caller, and returns what was not sent.

--- a/src/entry/RoutedEntryOptions.ts
+++ b/src/entry/RoutedEntryOptions.ts
@@ -1,3 +1,5 @@
+import type AllowanceBounds from '../allowances/AllowanceBounds';
+
 /** Settings of an entry VM that routes by a manifest. */
 interface RoutedEntryOptions {
   /** `ip:port` for links between entry VMs; identifies the VM. */
@@ -20,6 +22,8 @@
   takeoverDelayMs: number;
   /** Returns the limits on retries; they may change while the VM runs. */
   getRetryLimits(): { ratio: number; windowMs: number; reserve: number };
+  /** Returns the bounds on what is sent for organisations; the default is `DEFAULT_BOUNDS`. */
+  getAllowanceBounds?: () => AllowanceBounds;
 }
 
 export default RoutedEntryOptions;
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -182,6 +182,10 @@
           { kind: 'upstreamsLeaving' },
           { kind: 'permitWanted' },
           { kind: 'permit' },
+          { kind: 'allowancePoll' },
+          { kind: 'allowanceVote' },
+          { kind: 'allowanceWanted' },
+          { kind: 'allowanceLease' },
         ),
         ({ kind }) => host.log('messageDropped', { from, kind }),
       )
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -1,4 +1,7 @@
 import { match } from 'ts-pattern';
+import DEFAULT_BOUNDS from '../allowances/DEFAULT_BOUNDS';
+import createAllowanceGate from '../allowances/createAllowanceGate';
+import createAllowances from '../allowances/createAllowances';
 import createEngineStates from '../engines/createEngineStates';
 import createOwnedEngines from '../engines/createOwnedEngines';
 import createPendingLoads from '../engines/createPendingLoads';
@@ -29,6 +32,7 @@
 import createPrefillScheduler from '../prefill/createPrefillScheduler';
 import createPrefillClient from '../prefill/createPrefillClient';
 import createBroadcaster from '../broadcast/createBroadcaster';
+import rankRelays from '../broadcast/rankRelays';
 import createCrashDetector from '../quarantine/createCrashDetector';
 import createCrashGuard from '../quarantine/createCrashGuard';
 import createBrittleServices from '../places/createBrittleServices';
@@ -59,6 +63,14 @@
 const STATES_INTERVAL_MS = 2000;
 const OWNERSHIP_INTERVAL_MS = 250;
 const PERMIT_ISSUER_INTERVAL_MS = 250;
+/** Interval at which the holder of allowances is found, and what is not used is returned. */
+const ALLOWANCES_INTERVAL_MS = 50;
+/** The registered VMs are read this often; at the start, when many VMs register, more often. */
+const REGISTERED_INTERVAL_MS = 1000;
+const FIRST_REGISTERED_INTERVAL_MS = 100;
+const FIRST_REGISTRATIONS_MS = 5000;
+/** Keys of the VMs that are registered in the key-value service; see `src/members`. */
+const MEMBER_PREFIX = '/baobablink/members/';
 /** Interval at which limits of upstreams are repeated, for VMs that missed them. */
 const LIMITS_INTERVAL_MS = 1000;
 const REACH_INTERVAL_MS = 250;
@@ -95,6 +107,17 @@
   const prefill = createPrefillScheduler(host.setTimer);
   const versions = new Map<string, number>();
   let manifest: Manifest | undefined;
+  let isAllowanceNeeded = false;
+  let isRegistrationRead = false;
+  /** Returns the VMs that are registered, or may run without a registration, this one included. */
+  const listVms = (now: number) => {
+    const registered = mirror
+      .getAll(MEMBER_PREFIX)
+      .map(({ key }) => key.slice(MEMBER_PREFIX.length));
+    return [...new Set([address, ...registered, ...members.getPossibleHolders(now)])];
+  };
+  const getVmsAtStart = createCached(FIRST_REGISTERED_INTERVAL_MS, listVms);
+  const getVms = createCached(REGISTERED_INTERVAL_MS, listVms);
   let resumableServices: ReadonlySet<string> = new Set();
 
   /** Returns whether this VM reads the key-value service on behalf of the others. */
@@ -409,6 +432,22 @@
     },
     options,
   );
+  const allowances = createAllowances(
+    {
+      ...host,
+      isNeeded: () => isAllowanceNeeded,
+      getManifestVersion: () => manifest?.version ?? 0,
+      getBounds: options.getAllowanceBounds ?? (() => DEFAULT_BOUNDS),
+      tryGetVms,
+      rankHolders,
+      onElected: (missing) => host.log('allowanceHolderElected', { missing }),
+    },
+    { address, run: incarnation, startedAt },
+  );
+  const allowanceGate = createAllowanceGate(
+    { ...host, countRequest: (outcome) => metrics.allowances.inc({ outcome }) },
+    allowances,
+  );
   const gateway = createGateway({
     ...host,
     getManifest: () => manifest,
@@ -420,6 +459,7 @@
     tryGetBlock: crashGuard.tryGetBlock,
     tryGetOrigin: streamOrigins.tryGetOrigin,
     tryGetLimit: rateLimiting.tryGet,
+    acquireAllowance: allowanceGate.acquire,
     recordRequest: retryBudget.recordRequest,
     tryRetry: retryBudget.tryTake,
     metrics,
@@ -446,6 +486,7 @@
     readiness,
     prefillClient,
     rateLimiting,
+    allowances,
     crashGuard,
     streamOrigins,
     brittleServices,
@@ -462,6 +503,26 @@
     return chooseReaders(vms).includes(address);
   }
 
+  /** Returns the VMs that may run; undefined until this VM has read its own registration. */
+  function tryGetVms(now: number): readonly string[] | undefined {
+    isRegistrationRead ||= mirror.tryGet(`${MEMBER_PREFIX}${address}`)?.value !== undefined;
+    if (!isRegistrationRead) {
+      return undefined;
+    }
+    return now - startedAt < FIRST_REGISTRATIONS_MS ? getVmsAtStart(now) : getVms(now);
+  }
+
+  /** Returns the VMs that may hold the accounts of allowances: of those that serve, fast links first. */
+  function rankHolders(now: number): string[] {
+    const { linkMbps = 0 } = options;
+    const serving = new Set(members.getServing(now));
+    const vms = [...members.getMembers(), { address, linkMbps }];
+    return rankRelays(
+      'allowances',
+      vms.filter((vm) => serving.has(vm.address)),
+    );
+  }
+
   /** Returns whether this VM has recently received heartbeats of most of the others. */
   function isConnected(now: number): boolean {
     const others = members.getMembers();
@@ -518,6 +579,9 @@
       return;
     }
     manifest = newManifest;
+    isAllowanceNeeded = [...(newManifest.organisations?.values() ?? [])].some(
+      ({ allowance }) => allowance !== undefined,
+    );
     resumableServices = new Set(
       newManifest.routes
         .filter(({ isResumable }) => isResumable)
@@ -568,6 +632,12 @@
       checkCongestion(host.now());
     });
     runPeriodically(host, PERMIT_ISSUER_INTERVAL_MS, () => rateLimiting.refresh(host.now()));
+    runPeriodically(host, ALLOWANCES_INTERVAL_MS, () => {
+      if (isAllowanceNeeded) {
+        allowances.refresh(host.now());
+        metrics.isAllowanceHolder.set(allowances.isHolder(host.now()) ? 1 : 0);
+      }
+    });
     runPeriodically(host, REACH_INTERVAL_MS, () => {
       reach.refresh(host.now());
       metrics.isPartitioned.set(reach.isPartitioned() ? 1 : 0);
--- a/src/entry/receiveMessage.ts
+++ b/src/entry/receiveMessage.ts
@@ -11,6 +11,7 @@
 import type EngineStates from '../engines/EngineStates';
 import type PendingLoads from '../engines/PendingLoads';
 import type Readiness from '../readiness/Readiness';
+import type createAllowances from '../allowances/createAllowances';
 import type RateLimiting from '../rateLimits/RateLimiting';
 import type Places from '../places/Places';
 import type createBroadcaster from '../broadcast/createBroadcaster';
@@ -51,6 +52,7 @@
   readiness: Readiness;
   prefillClient: ReturnType<typeof createPrefillClient>;
   rateLimiting: RateLimiting;
+  allowances: ReturnType<typeof createAllowances>;
   crashGuard: ReturnType<typeof createCrashGuard>;
   streamOrigins: ReturnType<typeof createStreamOrigins>;
   brittleServices: ReturnType<typeof createBrittleServices>;
@@ -161,6 +163,12 @@
     .with({ kind: 'probed' }, ({ id, outcome }) => parts.witnesses.handleReply(id, outcome))
     .with({ kind: 'permitWanted' }, (wanted) => parts.rateLimiting.handleRequest(from, wanted))
     .with({ kind: 'permit' }, ({ id, ...reply }) => parts.rateLimiting.handleReply(id, reply))
+    .with({ kind: 'allowancePoll' }, (poll) => parts.allowances.handlePoll(now, from, poll))
+    .with({ kind: 'allowanceVote' }, (vote) => parts.allowances.handleVote(now, from, vote))
+    .with({ kind: 'allowanceWanted' }, (wanted) =>
+      parts.allowances.handleRequest(now, from, wanted),
+    )
+    .with({ kind: 'allowanceLease' }, (lease) => parts.allowances.handleReply(now, from, lease))
     .with({ kind: 'upstreamCrash' }, (report) => parts.crashGuard.receiveCrash(now, report))
     .with({ kind: 'streamOrigins' }, ({ origins, isPublished }) =>
       parts.streamOrigins.receive(now, origins, isPublished),
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -86,6 +86,12 @@
     'warn',
     'The upstreams of a service state that they end if they turn many requests away, or no longer do.',
   ),
+  allowanceExceeded: e(
+    245,
+    'warn',
+    'Requests of an organisation are refused for want of allowance; reported at most once a second.',
+  ),
+  allowanceHolderElected: e(246, 'info', 'This entry VM holds the accounts of all allowances now.'),
   traitBlocked: e(250, 'warn', 'Requests with a trait that crashes upstreams are refused.'),
   traitUnblocked: e(251, 'info', 'Requests with a trait are no longer refused.'),
   blockUnreadable: e(252, 'warn', 'The record of a block could not be decoded.'),
--- a/src/gateway/ActiveRequest.ts
+++ b/src/gateway/ActiveRequest.ts
@@ -1,3 +1,5 @@
+import type Grant from '../allowances/Grant';
+import type Organisation from '../manifest/Organisation';
 import type Route from '../manifest/Route';
 import type ResponseFraming from '../upstream/ResponseFraming';
 import type CallerRequest from './CallerRequest';
@@ -8,6 +10,10 @@
   callerRequest: CallerRequest;
   route: Route;
   service: string;
+  /** Organisation of the caller; undefined if there is none. */
+  organisation?: Organisation | undefined;
+  /** What the request uses of its organisation's allowance; undefined if that has none. */
+  allowance?: Extract<Grant, { kind: 'granted' }>;
   response: ResponseWriter;
   arrivedAt: number;
   deadlineAt: number;
--- a/src/gateway/Refusal.ts
+++ b/src/gateway/Refusal.ts
@@ -17,6 +17,8 @@
       seen?: CapacityDetails;
     }
   | { kind: 'deadline'; retryAfterMs: number }
+  /** The organisation has used its allowance; `seen` is the state of its account. */
+  | { kind: 'overAllowance'; retryAfterMs: number; seen?: object }
   /** The request resumes a stream, and the software version at which that began is not known. */
   | { kind: 'unknownOrigin'; retryAfterMs: number }
   /** A trait of the request crashes upstreams; none will run it until the block ends. */
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -179,6 +179,9 @@
     if (host.tryGetBlock(host.now(), request.callerRequest)) {
       return endUnsent({ kind: 'notSent', reason: 'blocked' });
     }
+    if (request.allowance?.trySpend(host.now()) === false) {
+      return endUnsent({ kind: 'notSent', reason: 'allowanceExpired' });
+    }
     let beganAt: number | undefined;
     let sentAt = host.now();
     const pendingAttempt: PendingAttempt = {
--- a/src/gateway/createGateway.ts
+++ b/src/gateway/createGateway.ts
@@ -1,3 +1,4 @@
+import type Grant from '../allowances/Grant';
 import type Log from '../events/Log';
 import type Metrics from '../metrics/Metrics';
 import type Manifest from '../manifest/Manifest';
@@ -44,6 +45,8 @@
   /** Returns the VM that is to carry a request; undefined if this VM serves it. */
   tryGetCarrier(request: ActiveRequest, excluded: ReadonlySet<string>): string | undefined;
   forward(request: ActiveRequest, vm: string, attempts: number): Promise<AttemptOutcome>;
+  /** Takes what a request uses of its organisation's allowance; undefined if it needs none. */
+  acquireAllowance(request: ActiveRequest): Promise<Grant> | undefined;
   recordRequest(now: number, service: string): void;
   tryRetry(now: number, service: string): boolean;
   /** Returns a number from 0 to 1. */
@@ -159,11 +162,14 @@
     const outcome = await served.catch((error: Error): Awaited<typeof served> => {
       host.log('unexpected', { request: request.callerRequest.id, error: error.stack });
       request.response.abort();
+      // It is not known whether the request was sent.
+      request.allowance?.end(host.now(), true);
       return { kind: 'cut', reason: 'unexpected' };
     });
     active.delete(request);
     host.metrics.inFlight.set(active.size);
     const now = host.now();
+    request.allowance?.end(now, false);
     const { kind, ...details } = outcome;
     if (kind === 'answered') {
       host.metrics.answers.inc({ kind: request.route.kind });
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -1,4 +1,5 @@
 import { match, P } from 'ts-pattern';
+import type Grant from '../allowances/Grant';
 import type Log from '../events/Log';
 import type Result from '../shared/Result';
 import type AttemptOutcome from './AttemptOutcome';
@@ -11,6 +12,8 @@
 
 /** Maximum number of attempts that end before a byte is sent; the request is then ended. */
 const MAX_UNSENT_ATTEMPTS = 4;
+/** A request that is not sent while its share of an allowance is valid gets another this often. */
+const MAX_ALLOWANCE_RENEWALS = 2;
 /** A request that has waited this long for prefill permissions is late at any engine. */
 const MAX_PREFILL_WAIT_MS = 150;
 /** Maximum number of attempts that upstreams reject without running the request. */
@@ -39,6 +42,11 @@
   forward(request: ActiveRequest, vm: string, attempts: number): Promise<AttemptOutcome>;
   /** Returns the trait of a request for which it is refused, and the time until that ends. */
   tryGetBlock(now: number, request: CallerRequest): { trait: string; endsInMs: number } | undefined;
+  /**
+   * Takes what the request uses of its organisation's allowance; undefined if it needs none. Called
+   * once, before the request is placed, and again if that is not sent in time.
+   */
+  acquireAllowance(request: ActiveRequest): Promise<Grant> | undefined;
   /** Takes one retry from the retry budget of the service; returns false if none is left. */
   tryRetry(now: number, service: string): boolean;
   /** Returns a number from 0 to 1. */
@@ -67,10 +75,16 @@
   /** Upstreams that may have run the request; a VM that carries it may have used all that it may. */
   let runCount = 0;
   let isImmediate = false;
+  let allowanceRenewals = 0;
   const isRetryable =
     request.route.kind === 'idempotent' ||
     (request.route.kind === 'stream' && request.route.isResumable);
 
+  const pendingGrant = host.acquireAllowance(request);
+  const overAllowance = pendingGrant && (await receiveGrant(pendingGrant));
+  if (overAllowance) {
+    return overAllowance;
+  }
   for (;;) {
     const target = await chooseTarget();
     if (request.isCallerGone) {
@@ -87,6 +101,18 @@
     const outcome = await target.value.attempt();
     if (outcome.kind !== 'notSent') {
       sentCount += 1;
+      request.allowance?.end(host.now(), true);
+    } else if (
+      outcome.reason === 'allowanceExpired' &&
+      allowanceRenewals < MAX_ALLOWANCE_RENEWALS
+    ) {
+      allowanceRenewals += 1;
+      request.allowance?.end(host.now(), false);
+      const renewed = host.acquireAllowance(request);
+      const refused = renewed && (await receiveGrant(renewed));
+      if (refused) {
+        return refused;
+      }
     }
     if (!['notSent', 'notRun', 'refused'].includes(outcome.kind)) {
       runCount += target.value.attempts;
@@ -106,6 +132,31 @@
     });
   }
 
+  /** Waits for what the request uses of an allowance; returns how the request ends without it. */
+  async function receiveGrant(pending: Promise<Grant>): Promise<RequestOutcome | undefined> {
+    const grant = await pending;
+    if (grant.kind === 'granted') {
+      Object.assign(request, { allowance: grant });
+    }
+    if (request.isCallerGone) {
+      return { kind: 'callerLeft' };
+    }
+    if (request.isStopped) {
+      return endStopped();
+    }
+    if (host.now() >= request.deadlineAt) {
+      return refuse({ kind: 'deadline', retryAfterMs: getRetryAfterMs(host.random()) });
+    }
+    return grant.kind === 'refused' ? refuse({ ...grant, kind: 'overAllowance' }) : undefined;
+  }
+
+  /** Has another VM carry the request, which uses its share of an allowance then. */
+  async function forward(vm: string, attempts: number): Promise<AttemptOutcome> {
+    return request.allowance?.trySpend(host.now()) === false
+      ? { kind: 'notSent', reason: 'allowanceExpired' }
+      : host.forward(request, vm, attempts);
+  }
+
   /** Chooses the upstream of the next attempt, or the VM that carries the request. */
   async function chooseTarget(): Promise<
     Result<{ id: string; attempts: number; attempt: () => Promise<AttemptOutcome> }, Refusal>
@@ -118,7 +169,7 @@
         value: {
           id: carrier,
           attempts,
-          attempt: () => host.forward(request, carrier, attempts),
+          attempt: () => forward(carrier, attempts),
         },
       };
     }
@@ -162,6 +213,12 @@
         excluded.add(targetId);
         return 'retry';
       })
+      .with({ kind: 'notSent', reason: 'allowanceExpired' }, () => {
+        const retryAfterMs = getRetryAfterMs(host.random());
+        return allowanceRenewals < MAX_ALLOWANCE_RENEWALS
+          ? 'retry'
+          : refuse({ kind: 'overAllowance', retryAfterMs });
+      })
       .with({ kind: 'notSent', reason: 'blocked' }, () => {
         const block = host.tryGetBlock(host.now(), request.callerRequest);
         return runCount > 0 || !block
--- a/src/gateway/writeRefusal.ts
+++ b/src/gateway/writeRefusal.ts
@@ -15,6 +15,7 @@
     .with('headerTooLarge', () => 431)
     .with('bodyTooLarge', () => 413)
     .with('slowBody', () => 408)
+    .with('overAllowance', () => 429)
     .with(
       P.union(
         'notReady',
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -356,6 +356,54 @@
     waitMs: z.number(),
     intervalMs: z.number(),
   }),
+  /**
+   * Requests votes for the sender as the holder of all allowances; the reply is `allowanceVote`. `run`
+   * differs between runs of a VM.
+   */
+  z.object({
+    kind: z.literal('allowancePoll'),
+    run: z.string(),
+    round: z.number(),
+    /** Whether the sender is the holder, and not only stands for it. */
+    isElected: z.boolean(),
+  }),
+  /** Reply to `allowancePoll`; see `src/allowances/createHolderElection.ts`. */
+  z.object({
+    kind: z.literal('allowanceVote'),
+    round: z.number(),
+    /** VMs that the sender knows, itself included. */
+    vmCount: z.number(),
+    /** The sender votes for no other VM for this long. */
+    forMs: z.number(),
+    /** Whether the sender has run for longer than a vote lasts. */
+    isSeasoned: z.boolean(),
+  }),
+  /** Requests amounts of an organisation's allowance; the reply is `allowanceLease`. */
+  z.object({
+    kind: z.literal('allowanceWanted'),
+    organisation: z.string(),
+    run: z.string(),
+    id: z.number(),
+    acknowledged: z.number(),
+    limit: z.object({ version: z.number(), perSecond: z.number(), burst: z.number() }),
+    amounts: z.array(z.number()),
+    ahead: z.number(),
+    unspent: z.number(),
+    returned: z.number(),
+  }),
+  /** Reply to `allowanceWanted`; see `src/allowances/LeaseReply.ts`. */
+  z.object({
+    kind: z.literal('allowanceLease'),
+    organisation: z.string(),
+    id: z.number(),
+    isHolder: z.boolean(),
+    amount: z.number(),
+    grantedCount: z.number(),
+    retryAfterMs: z.array(z.number()),
+    level: z.number(),
+    lent: z.number(),
+    capacity: z.number(),
+  }),
   z.object({
     kind: z.literal('callStatus'),
     key: z.string(),
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -80,6 +80,14 @@
     permits: counter('upstream_permits_total', 'Permits wanted for limited upstreams.', [
       'outcome',
     ]),
+    allowances: counter('allowance_requests_total', 'Requests under an allowance, by outcome.', [
+      'outcome',
+    ]),
+    isAllowanceHolder: gauge(
+      'allowance_holder',
+      'Whether this VM holds the accounts of all allowances.',
+      [],
+    ),
     readinessNotices: counter(
       'upstream_readiness_notices_total',
       'Responses in which upstreams wanted no more requests, by what they stated.',
--- a/test/platform/truncatedResponse.test.ts
+++ b/test/platform/truncatedResponse.test.ts
@@ -197,6 +197,7 @@
         organisations: undefined,
         limits,
       }),
+      acquireAllowance: () => undefined,
       place: async () => ({
         ok: true,
         value: {
--- a/test/routed/createTestRequest.ts
+++ b/test/routed/createTestRequest.ts
@@ -214,6 +214,7 @@
           forwards.push({ vm, attempts });
           return carried[targetCount - 1]!;
         },
+        acquireAllowance: () => undefined,
         tryRetry: () => hasRetryBudget,
         countRetry: () => {},
         log: () => {},
