--- a/src/entry/RoutedEntryOptions.ts
+++ b/src/entry/RoutedEntryOptions.ts
@@ -1,3 +1,5 @@
+import type AllowanceBounds from '../allowances/AllowanceBounds';
+
 /** Settings of an entry VM that routes by a manifest. */
 interface RoutedEntryOptions {
   /** `ip:port` for links between entry VMs; identifies the VM. */
@@ -25,6 +27,8 @@
    * refused, in milliseconds; without it they are always served.
    */
   getMaxUnconfirmedMs?(): number;
+  /** Returns the bounds on what is sent for organisations; the default is `DEFAULT_BOUNDS`. */
+  getAllowanceBounds?: () => AllowanceBounds;
 }
 
 export default RoutedEntryOptions;
--- a/src/gateway/ActiveRequest.ts
+++ b/src/gateway/ActiveRequest.ts
@@ -1,3 +1,4 @@
+import type Grant from '../allowances/Grant';
 import type Organisation from '../manifest/Organisation';
 import type Route from '../manifest/Route';
 import type ResponseFraming from '../upstream/ResponseFraming';
@@ -11,6 +12,8 @@
   /** Undefined if callers need no key, and on a public route without a known one. */
   organisation?: Organisation;
   service: string;
+  /** What the request uses of its organisation's allowance; undefined if that has none. */
+  allowance?: Extract<Grant, { kind: 'granted' }>;
   response: ResponseWriter;
   arrivedAt: number;
   deadlineAt: number;
