--- a/test/platform/createTestGateway.ts
+++ b/test/platform/createTestGateway.ts
@@ -157,6 +157,7 @@
         Infinity,
       ),
     tryGetLimit: () => undefined,
+    acquireAllowance: () => undefined,
     tryGetOrigin: () => undefined,
     recordRequest: () => {},
     tryGetBlock: () => undefined,
