Tests of clients outside the limits (failing)

They start processes of the product with a memory of 190 MB, a heap of 80 MB and 320 descriptors, and let 48 clients (360 without any request) send bodies that stop short or are too large, pipeline requests, and read nothing. A process must be alive, its peak of resident memory and its descriptors stay under these settings, and an ordinary request must be answered while the clients' connections are open. The clients and bounds are fixed with this commit.

stopChild of the trial no longer waits for a process that a signal has ended.

--- a/scripts/createTrial.ts
+++ b/scripts/createTrial.ts
@@ -182,7 +182,7 @@
   async function stopChild(name: string, signal: NodeJS.Signals): Promise<number | null> {
     const child = children.get(name)!;
     children.delete(name);
-    if (child.exitCode !== null) {
+    if (child.exitCode !== null || child.signalCode !== null) {
       return child.exitCode;
     }
     return new Promise((resolve) => {
--- a/scripts/platform/createPlatformTrial.ts
+++ b/scripts/platform/createPlatformTrial.ts
@@ -38,6 +38,12 @@
   desks?: number;
   /** Second octet of the loopback addresses; distinct values let trials run side by side. */
   network?: number;
+  /** Arguments of Node.js for the VMs. */
+  nodeArguments?: string[];
+  /** Lines of the section `Limits` of the VMs' settings. */
+  limits?: string[];
+  /** Largest body that the manifest allows (default: 1 MiB). */
+  maxBodyBytes?: number;
   /** Bundle of the product that the VMs run; built from this checkout if undefined. */
   bundle?: string;
 }) {
@@ -129,7 +135,8 @@
 
     writeFileSync(file, getSettings(name, getStoreAddress(index)));
     const bundle = bundles.get(name) ?? options.bundle ?? 'target/baobablink.cjs';
-    spawnChild(name, ['--import', PARTITION_SCRIPT, bundle, 'serve-platform'], {
+    const nodeArguments = [...(options.nodeArguments ?? []), '--import', PARTITION_SCRIPT];
+    spawnChild(name, [...nodeArguments, bundle, 'serve-platform'], {
       TRIAL_PARTITION_FILE: getPartitionFile(name),
       TRIAL_SERVER_PREFIX: `127.${network}.3.`,
       BAOBABLINK_SETTINGS_FILE: file,
@@ -179,6 +186,7 @@
       '[Provider]',
       `Addr = "${storeAddress}"`,
       'TtlMinMs = 1000',
+      ...(options.limits ? ['[Limits]', ...options.limits] : []),
     ].join('\n');
   }
 
@@ -242,7 +250,7 @@
       ],
       Limits: {
         MaxHeaderBytes: 16_384,
-        MaxBodyBytes: 1_048_576,
+        MaxBodyBytes: options.maxBodyBytes ?? 1_048_576,
         HeaderTimeoutMs: 3000,
         IdleTimeoutMs: 15_000,
       },
@@ -305,6 +313,7 @@
     model: MODEL,
     getAddress,
     signal: (name: string, signal: NodeJS.Signals) => children.get(name)?.kill(signal),
+    getPid: (name: string) => children.get(name)?.pid,
     getLog: (name: string) => (logs.get(name) ?? []).join(''),
   };
 }
--- a/standins/platform/createModelServer.ts
+++ b/standins/platform/createModelServer.ts
@@ -14,6 +14,8 @@
 const FIRST_EVENT_DELAY_MS = 25;
 const EVENT_COUNT = 8;
 const LATE_COMMAND_DELAY_MS = 2500;
+/** Paths ending in `/endless` get events of this size as fast as they are read. */
+const ENDLESS_EVENT_BYTES = 64 * 1024;
 /** Under the fault `unframed`, one in this many streams breaks off inside an event. */
 const TRUNCATION_INTERVAL = 3;
 /** Shortest time allowed between commands of two different owners. */
@@ -269,6 +271,15 @@
         });
       }
       event += 1;
+      if (String(request.url).endsWith('/endless')) {
+        const isRead = response.write(`id: ${event}\ndata: ${'x'.repeat(ENDLESS_EVENT_BYTES)}\n\n`);
+        if (isRead) {
+          setImmediate(send);
+        } else {
+          response.once('drain', send);
+        }
+        return;
+      }
       const text = `id: ${event}\ndata: ${JSON.stringify({ id, name, version, event, build })}\n\n`;
       const isLast = event >= EVENT_COUNT;
       response.write(isLast && isTruncated ? text.slice(0, text.length / 2) : text);
--- a/standins/platform/createPlainServer.ts
+++ b/standins/platform/createPlainServer.ts
@@ -15,6 +15,9 @@
 /** Under the fault `unframed`, one in this many responses breaks off inside its body. */
 const TRUNCATION_INTERVAL = 3;
 const RESET_DELAY_MS = 5;
+/** Paths ending in `/large` get a body that a VM keeps until it is complete, `/huge` a larger one. */
+const LARGE_BODY_BYTES = 900_000;
+const HUGE_BODY_BYTES = 24 * 1024 * 1024;
 
 /** Creates a plain server, which records each execution under the caller's request id. */
 export default function createPlainServer(
@@ -107,6 +110,10 @@
       return;
     }
     response.write(''); // Keeps Node.js from adding a length.
+    if (path.endsWith('/large') || path.endsWith('/huge')) {
+      response.end(Buffer.alloc(path.endsWith('/large') ? LARGE_BODY_BYTES : HUGE_BODY_BYTES, 'x'));
+      return;
+    }
     response.end(JSON.stringify({ id, server: options.id, path: request.url }));
   });
   const crash = createCrash(server, {
