Bounds on what a VM holds for clients, and on their connections

Bodies were kept as one object for each chunk, pipelined requests were all started at once, and the responses that a caller does not read were kept without bound. One account now holds the bytes of bodies, waiting requests and unread responses, with a limit from Limits.RamMb: from half of it, only the oldest bodies are read, and stuck holders are closed, the largest first.

--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -17,6 +17,11 @@
   unexpected: e(104, 'error', 'An unexpected error was caught.'),
   settingsRefused: e(105, 'error', 'The settings are not valid.'),
   settingsRead: e(106, 'info', 'The settings file was read again.'),
+  clientLimited: e(
+    107,
+    'warn',
+    'Clients outside the limits were refused or disconnected; at most one line a second and reason.',
+  ),
   memberHeard: e(200, 'info', 'The first heartbeat of another entry VM was received.'),
   linkEnded: e(201, 'info', 'A link between entry VMs ended.'),
   messageDropped: e(
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -94,6 +94,12 @@
       'Upstreams that state a limit for requests of all VMs.',
       [],
     ),
+    clientLimits: counter(
+      'client_limits_total',
+      'Clients outside the limits that were refused or disconnected, by reason.',
+      ['reason'],
+    ),
+    heldBytes: gauge('held_bytes', 'Bytes of bodies and unread responses held for clients.', []),
     inFlight: gauge('requests_in_flight', 'In-flight requests on this VM.', []),
   };
 }
--- a/src/requests/createBodyFilter.ts
+++ b/src/requests/createBodyFilter.ts
@@ -1,5 +1,6 @@
 import type { MiddlewareHandler } from 'hono';
 import type Clock from '../shared/Clock';
+import type RefusalName from '../messages/RefusalName';
 import type EntryContext from './EntryContext';
 import createRefusalResponse from './createRefusalResponse';
 import readBody from './readBody';
@@ -20,9 +21,13 @@
       ? await readIncomingBody(clock, incoming, limits)
       : await readBody(clock, context.req.raw, limits);
     if (!body.ok) {
-      return createRefusalResponse(body.error);
+      return createRefusalResponse(getRefusal(body.error));
     }
     context.set('text', body.value.toString());
     return next();
   };
 }
+
+function getRefusal(error: 'oversize' | 'slowBody' | 'stuck' | 'overload'): RefusalName {
+  return error === 'overload' ? 'queueFull' : error === 'stuck' ? 'slowBody' : error;
+}
--- a/src/requests/readIncomingBody.ts
+++ b/src/requests/readIncomingBody.ts
@@ -1,37 +1,77 @@
 import type { IncomingMessage } from 'node:http';
+import createGrowingBuffer from '../clientLimits/createGrowingBuffer';
+import type createHeldBytes from '../clientLimits/createHeldBytes';
+import createSocketPauser from '../clientLimits/createSocketPauser';
 import type Result from '../shared/Result';
 import type Clock from '../shared/Clock';
 
+const PAUSE_REASON = 'body';
+
+/** `stuck`, `overload`: the body was given up to free memory, as it did not progress or was large. */
+type BodyError = 'oversize' | 'slowBody' | 'stuck' | 'overload';
+
 /**
  * Reads the body of a Node request, within the limits of size and time. It avoids the web streams
- * of `readBody`, which take a third of the CPU time of a short request.
+ * of `readBody`, which take a third of the CPU time of a short request. With an account, the body
+ * is held there until the function that is given to `onRelease` is called.
  */
 export default function readIncomingBody(
   clock: Clock,
   incoming: IncomingMessage,
-  limits: { maxBytes: number; timeoutMs: number },
-): Promise<Result<Buffer, 'oversize' | 'slowBody'>> {
+  limits: {
+    maxBytes: number;
+    timeoutMs: number;
+    held?: ReturnType<typeof createHeldBytes>;
+    onRelease?(release: () => void): void;
+  },
+): Promise<Result<Buffer, BodyError>> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    const finish = (result: Result<Buffer, 'oversize' | 'slowBody'>) => {
+    const declaredBytes = Number(incoming.headers['content-length'] ?? limits.maxBytes);
+    const maxBytes = Math.min(limits.maxBytes, declaredBytes >= 0 ? declaredBytes : Infinity);
+    const buffer = createGrowingBuffer({ maxBytes });
+    const pauser = createSocketPauser(incoming.socket);
+    let isEnded = false;
+    const entry = limits.held?.add(clock.now(), 'reading', {
+      maxBytes,
+      getProgress: buffer.getSize,
+      pause: () => pauser.pause(PAUSE_REASON),
+      resume: () => pauser.resume(PAUSE_REASON),
+      close: (reason) => finish({ ok: false, error: reason === 'stuck' ? 'stuck' : 'overload' }),
+    });
+    const finish = (result: Result<Buffer, BodyError>) => {
+      if (isEnded) {
+        return;
+      }
+      isEnded = true;
       cancelTimer();
       incoming.off('data', handleChunk);
+      pauser.resume(PAUSE_REASON);
+      if (result.ok) {
+        entry?.complete(clock.now());
+        limits.onRelease?.(() => entry?.release(clock.now()));
+      } else {
+        buffer.clear();
+        entry?.release(clock.now());
+        incoming.resume();
+      }
       resolve(result);
     };
     const handleChunk = (chunk: Buffer) => {
-      chunks.push(chunk);
-      size += chunk.length;
-      if (size > limits.maxBytes) {
-        incoming.resume();
+      if (buffer.getSize() + chunk.length > limits.maxBytes) {
         finish({ ok: false, error: 'oversize' });
+        return;
+      }
+      const capacity = buffer.getCapacity();
+      buffer.append(chunk);
+      if (buffer.getCapacity() !== capacity) {
+        entry?.setBytes(clock.now(), buffer.getCapacity());
       }
     };
     const cancelTimer = clock.setTimer(limits.timeoutMs, () =>
       finish({ ok: false, error: 'slowBody' }),
     );
     incoming.on('data', handleChunk);
-    incoming.once('end', () => finish({ ok: true, value: Buffer.concat(chunks) }));
+    incoming.once('end', () => finish({ ok: true, value: buffer.getContent() }));
     incoming.once('error', () => finish({ ok: false, error: 'slowBody' }));
   });
 }
