The mesh bounds what is not authenticated and what waits to be sent

A connection that had not authenticated could make a VM keep 4 MB; 48 of them took 272 MB. A link that does not read is ended once too much waits on all links together; the bound on one alone allowed 8 MB for each peer.

--- a/src/mesh/createMesh.ts
+++ b/src/mesh/createMesh.ts
@@ -14,6 +14,8 @@
 const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 const MAX_HELLO_BYTES = 1024;
 const MAX_QUEUED_BYTES = 8 * 1024 * 1024;
+/** The bound on all links together is checked only while this much waits on the link in use. */
+const MIN_BOUNDED_BYTES = 256 * 1024;
 const HANDSHAKE_TIMEOUT_MS = 2000;
 const REDIAL_PAUSE_MS = 250;
 /** Kinds of unreadable messages that are reported of one VM. */
@@ -41,6 +43,8 @@
   | 'badProof'
   | 'wrongProtocol'
   | 'handshakeTimeout'
+  /** More connections than allowed have not authenticated. */
+  | 'tooManyHandshakes'
   | 'queueFull'
   | 'redial';
 
@@ -67,10 +71,22 @@
  */
 export default function createMesh(
   host: MeshHost,
-  options: { address: string; clusterKey: string; listenHost: string; listenPort: number },
+  options: {
+    address: string;
+    clusterKey: string;
+    listenHost: string;
+    listenPort: number;
+    /** Largest number of accepted connections that have not authenticated. */
+    maxHandshakes?: number;
+    /** Largest number of bytes that wait to be sent on all links together. */
+    maxQueuedBytes?: number;
+  },
 ) {
+  const { maxHandshakes = Infinity, maxQueuedBytes = Infinity } = options;
   const links = new Map<string, Link>();
   const accepted = new Set<net.Socket>();
+  /** Accepted connections that have not authenticated, the oldest first. */
+  const handshakes = new Set<net.Socket>();
   let peers = new Set<string>();
   let isClosed = false;
   /** Kinds of messages that could not be read, by the VM that sent them. */
@@ -98,7 +114,14 @@
   }
 
   function accept(socket: net.Socket): void {
+    if (handshakes.size >= maxHandshakes) {
+      const [oldest] = handshakes;
+      host.onLinkEnd('unknown', 'tooManyHandshakes');
+      oldest.destroy();
+      handshakes.delete(oldest);
+    }
     accepted.add(socket);
+    handshakes.add(socket);
     socket.setNoDelay(true);
     const acceptorNonce = randomBytes(16).toString('hex');
     let hello: z.infer<typeof Hello> | undefined;
@@ -150,6 +173,7 @@
         return;
       }
       isAuthenticated = true;
+      handshakes.delete(socket);
       clearTimeout(timer);
     };
     const createBinding = (dialerHello: z.infer<typeof Hello>, responseNonce: string) => ({
@@ -158,7 +182,10 @@
       dialerNonce: dialerHello.nonce,
       acceptorNonce: responseNonce,
     });
-    const readChunk = createFrameReader(MAX_FRAME_BYTES, handleFrame);
+    const readChunk = createFrameReader(
+      () => (isAuthenticated ? MAX_FRAME_BYTES : MAX_HELLO_BYTES),
+      handleFrame,
+    );
     socket.on('data', (chunk) => {
       if (!readChunk(chunk)) {
         endConnection('badFrame');
@@ -168,6 +195,7 @@
     socket.on('close', () => {
       clearTimeout(timer);
       accepted.delete(socket);
+      handshakes.delete(socket);
     });
   }
 
@@ -191,24 +219,27 @@
         encodeFrame({ protocol: PROTOCOL_VERSION, from: options.address, nonce: dialerNonce }),
       );
     });
-    const readChunk = createFrameReader(MAX_HELLO_BYTES, (payload) => {
-      const parsed = Welcome.safeParse(tryDecode(payload, false));
-      const binding = {
-        from: options.address,
-        to: peer,
-        dialerNonce,
-        acceptorNonce: parsed.data?.nonce ?? '',
-      };
-      const expected = getProof(options.clusterKey, 'acceptor', binding);
-      if (link.isReady || !parsed.success || !isSameSecret(parsed.data.proof, expected)) {
-        endLink(peer, 'badProof');
-        return;
-      }
-      clearTimeout(timer);
-      socket.write(encodeFrame({ proof: getProof(options.clusterKey, 'dialer', binding) }));
-      link.isReady = true;
-      link.isCompressed = parsed.data.compression === true;
-    });
+    const readChunk = createFrameReader(
+      () => MAX_HELLO_BYTES,
+      (payload) => {
+        const parsed = Welcome.safeParse(tryDecode(payload, false));
+        const binding = {
+          from: options.address,
+          to: peer,
+          dialerNonce,
+          acceptorNonce: parsed.data?.nonce ?? '',
+        };
+        const expected = getProof(options.clusterKey, 'acceptor', binding);
+        if (link.isReady || !parsed.success || !isSameSecret(parsed.data.proof, expected)) {
+          endLink(peer, 'badProof');
+          return;
+        }
+        clearTimeout(timer);
+        socket.write(encodeFrame({ proof: getProof(options.clusterKey, 'dialer', binding) }));
+        link.isReady = true;
+        link.isCompressed = parsed.data.compression === true;
+      },
+    );
     socket.on('data', (chunk) => {
       if (!readChunk(chunk)) {
         endLink(peer, 'badFrame');
@@ -263,12 +294,33 @@
       endLink(to, 'queueFull');
       return false;
     }
+    if (link.socket.writableLength > MIN_BOUNDED_BYTES && getTotalQueuedBytes() > maxQueuedBytes) {
+      endLink(getFullestLink(), 'queueFull');
+      if (links.get(to) !== link) {
+        return false;
+      }
+    }
     const frame = getFrame(message, link.isCompressed);
     link.socket.write(frame);
     host.onSent(message.kind, frame.length);
     return true;
   }
 
+  function getTotalQueuedBytes(): number {
+    let bytes = 0;
+    links.forEach(({ socket }) => {
+      bytes += socket.writableLength;
+    });
+    return bytes;
+  }
+
+  /** Returns the peer with the most bytes that wait to be sent, as one that does not read. */
+  function getFullestLink(): string {
+    return [...links].reduce((fullest, link) =>
+      link[1].socket.writableLength > fullest[1].socket.writableLength ? link : fullest,
+    )[0];
+  }
+
   function getFrame(message: Message, isCompressed: boolean): Buffer {
     if (lastSent?.message === message && lastSent.isCompressed === isCompressed) {
       return lastSent.frame;
