--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -143,16 +143,22 @@
     return known.length > 0 ? known : usable;
   }
 
+  /** Returns the upstreams at which a request to a service without engines may be sent now. */
+  function getPlainCandidates(
+    now: number,
+    request: ActiveRequest,
+    excludedUpstreams: ReadonlySet<string>,
+  ): Candidate[] {
+    const usable = preferKnown(now, request, getUsable(request), excludedUpstreams);
+    return getCandidates(now, usable, excludedUpstreams);
+  }
+
   function placeAtAnyUpstream(
     request: ActiveRequest,
     excludedUpstreams: ReadonlySet<string>,
   ): Result<Placement, Refusal> {
     const now = host.now();
-    const candidates = getCandidates(
-      now,
-      preferKnown(now, request, getUsable(request), excludedUpstreams),
-      excludedUpstreams,
-    );
+    const candidates = getPlainCandidates(now, request, excludedUpstreams);
     const chosen = chooseUpstream(candidates, options.dataCentre);
     const upstream = chosen && upstreams.tryGet(chosen.id);
     return upstream
@@ -415,5 +421,5 @@
     };
   }
 
-  return { place, getLoadTargets };
+  return { place, getLoadTargets, getPlainCandidates };
 }
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -39,6 +39,11 @@
 import createReach from '../reach/createReach';
 import createWitnesses from '../reach/createWitnesses';
 import createRateLimiting from '../rateLimits/createRateLimiting';
+import createSlotIssuer from '../slots/createSlotIssuer';
+import createSlotIssuers from '../slots/createSlotIssuers';
+import createSlotPlacement from '../slots/createSlotPlacement';
+import createSlots from '../slots/createSlots';
+import createSpeedEstimate from '../slots/createSpeedEstimate';
 import createStreamOrigins from '../streams/createStreamOrigins';
 import getSoftwareVersion from '../streams/getSoftwareVersion';
 import createUsage from '../usage/createUsage';
@@ -59,6 +64,7 @@
 const STATES_INTERVAL_MS = 2000;
 const OWNERSHIP_INTERVAL_MS = 250;
 const PERMIT_ISSUER_INTERVAL_MS = 250;
+const SLOT_ISSUER_INTERVAL_MS = 250;
 /** Interval at which limits of upstreams are repeated, for VMs that missed them. */
 const LIMITS_INTERVAL_MS = 1000;
 const REACH_INTERVAL_MS = 250;
@@ -170,6 +176,7 @@
       usage.remove(id);
       rateLimiting.remove(id);
       places.remove(id);
+      speed.remove(id);
       prefill.remove(id);
       engines.close(id);
     },
@@ -385,6 +392,51 @@
     },
     { readiness, usage, health, prefillClient, rateLimiting, places, crashDetector },
   );
+  const speed = createSpeedEstimate();
+  const slotIssuers = createSlotIssuers({ members }, { ...options, startedAt });
+  const getReadyUpstreams = (now: number, service: string) =>
+    upstreams
+      .getAll()
+      .filter(
+        (upstream) => upstream.service === service && !readiness.has(now, upstream, 'leaving'),
+      );
+  const slots = createSlots(
+    {
+      ...host,
+      countSlot: (outcome) => metrics.slots.inc({ outcome }),
+    },
+    {
+      issuer: createSlotIssuer({
+        ...host,
+        isIssuer: (now, service) => slotIssuers.tryGetIssuer(now, service) === address,
+        getUpstreams: getReadyUpstreams,
+        getExpectedMs: speed.getExpectedMs,
+        recordDuration: speed.record,
+        getInFlight: usage.getInFlight,
+        getDataCentre: (vm) =>
+          members.getMembers().find((member) => member.address === vm)?.dataCentre ??
+          options.dataCentre,
+        isAlive: members.isAlive,
+        sendOrDeliver,
+      }),
+      issuers: slotIssuers,
+    },
+    { address },
+  );
+  const slotPlacement = createSlotPlacement(
+    {
+      ...host,
+      getManifest: () => manifest,
+      getUpstreams: getReadyUpstreams,
+      tryGetUpstream: upstreams.tryGet,
+      isPlaceNeeded: places.isNeeded,
+      getVmCount: members.getSharerCount,
+      getPlainCandidates: placement.getPlainCandidates,
+      place: placement.place,
+      attempt: attempts.attempt,
+    },
+    slots,
+  );
   const reach = createReach({
     ...host,
     getUpstreams: upstreams.getAll,
@@ -412,8 +464,8 @@
   const gateway = createGateway({
     ...host,
     getManifest: () => manifest,
-    place: placement.place,
-    attempt: attempts.attempt,
+    place: slotPlacement.place,
+    attempt: slotPlacement.attempt,
     isPartitioned: reach.isPartitioned,
     tryGetCarrier: forwarder.tryGetCarrier,
     forward: forwarder.forward,
@@ -450,6 +502,7 @@
     streamOrigins,
     brittleServices,
     places,
+    slots,
     reach,
     witnesses,
   };
@@ -568,6 +621,7 @@
       checkCongestion(host.now());
     });
     runPeriodically(host, PERMIT_ISSUER_INTERVAL_MS, () => rateLimiting.refresh(host.now()));
+    runPeriodically(host, SLOT_ISSUER_INTERVAL_MS, () => slots.refresh(host.now()));
     runPeriodically(host, REACH_INTERVAL_MS, () => {
       reach.refresh(host.now());
       metrics.isPartitioned.set(reach.isPartitioned() ? 1 : 0);
--- a/src/entry/receiveMessage.ts
+++ b/src/entry/receiveMessage.ts
@@ -13,6 +13,7 @@
 import type Readiness from '../readiness/Readiness';
 import type RateLimiting from '../rateLimits/RateLimiting';
 import type Places from '../places/Places';
+import type Slots from '../slots/Slots';
 import type createBroadcaster from '../broadcast/createBroadcaster';
 import type createPrefillScheduler from '../prefill/createPrefillScheduler';
 import type createUsagePublisher from '../usage/createUsagePublisher';
@@ -55,6 +56,7 @@
   streamOrigins: ReturnType<typeof createStreamOrigins>;
   brittleServices: ReturnType<typeof createBrittleServices>;
   places: Places;
+  slots: Pick<Slots, 'handleRequest' | 'handleReply' | 'handleEnd'>;
   reach: ReturnType<typeof createReach>;
   witnesses: ReturnType<typeof createWitnesses>;
 }
@@ -156,6 +158,9 @@
     .with({ kind: 'placeWanted' }, (wanted) => parts.places.handleRequest(from, wanted))
     .with({ kind: 'place' }, (reply) => parts.places.handleReply(from, reply))
     .with({ kind: 'placeEnded' }, (ended) => parts.places.handleEnd(from, ended))
+    .with({ kind: 'slotWanted' }, (wanted) => parts.slots.handleRequest(from, wanted))
+    .with({ kind: 'slot' }, (reply) => parts.slots.handleReply(from, reply))
+    .with({ kind: 'slotEnded' }, (ended) => parts.slots.handleEnd(from, ended))
     .with({ kind: 'reach' }, (stated) => parts.reach.receive(now, from, stated))
     .with({ kind: 'probeWanted' }, (wanted) => parts.witnesses.handleRequest(from, wanted))
     .with({ kind: 'probed' }, ({ id, outcome }) => parts.witnesses.handleReply(id, outcome))
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -120,6 +120,18 @@
     'This entry VM reaches no upstream; other VMs carry its requests.',
   ),
   upstreamsReachable: e(243, 'info', 'This entry VM reaches upstreams again.'),
+  slotsTaken: e(270, 'info', 'This entry VM issues the slots of a service from now on.'),
+  slotsGivenUp: e(271, 'info', 'This entry VM no longer issues the slots of a service.'),
+  slotRefused: e(
+    272,
+    'warn',
+    'A request was refused since no slot becomes free before its deadline; at most one line a second.',
+  ),
+  slotIssuerSilent: e(
+    273,
+    'warn',
+    'The VM that issues the slots of a service does not reply; this one chooses upstreams itself.',
+  ),
   rowApplied: e(300, 'debug', 'A table row is in force on this entry VM.'),
   editAccepted: e(301, 'info', 'A table edit was accepted.'),
   editRefused: e(302, 'info', 'A table edit was refused.'),
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -69,6 +69,24 @@
   newestAgeMs: z.number(),
 });
 
+/** What a VM states to the issuer of a service's slots with each message. */
+const SlotUse = z.object({
+  /** Grants of the receiver that the sender holds, after those that `ended`; none if undefined. */
+  held: z.number().optional(),
+  /** Requests in progress that the receiver has not granted, by upstream. */
+  others: z.array(z.tuple([z.string(), z.number()])).optional(),
+  /** Ends of uses: the number of the request, how it ended, and how long it took. */
+  ended: z
+    .array(
+      z.tuple([
+        z.number(),
+        z.enum(['done', 'failed', 'unsent', 'unreachable', 'full', 'lost', 'aborted']),
+        z.number(),
+      ]),
+    )
+    .optional(),
+});
+
 /**
  * A message between two entry VMs. Times are durations, since the VMs' clocks are not compared.
  * Exception: `startedAt` identifies a run of an engine.
@@ -321,6 +339,36 @@
     id: z.number(),
     isTurnedAway: z.boolean(),
   }),
+  /**
+   * Requests a slot at one of a service's upstreams from the VM that issues them; the reply is `slot`.
+   * See `src/slots/SlotRequest.ts`.
+   */
+  z.object({
+    kind: z.literal('slotWanted'),
+    service: z.string(),
+    id: z.number(),
+    urgency: z.number(),
+    onTimeMs: z.number(),
+    waitMs: z.number(),
+    organisation: z.string().optional(),
+    excluded: z.array(z.string()).optional(),
+    ...SlotUse.shape,
+  }),
+  /**
+   * Reply to `slotWanted`: the upstream, the expected wait in the queue, or the time to return of a
+   * refused request. An empty upstream leaves the choice to the receiver. Without any of them, the sender
+   * does not issue slots of the service. Without `id`, the reply concerns all requests of the receiver
+   * that wait.
+   */
+  z.object({
+    kind: z.literal('slot'),
+    id: z.number().optional(),
+    upstream: z.string().optional(),
+    waitMs: z.number().optional(),
+    retryAfterMs: z.number().optional(),
+  }),
+  /** Ends the use of slots, or the wait for them, at the VM that issued them. */
+  z.object({ kind: z.literal('slotEnded'), service: z.string(), ...SlotUse.shape }),
   /** Announces whether the sender reaches no upstream; repeated while it does not. */
   z.object({ kind: z.literal('reach'), isPartitioned: z.boolean() }),
   /** Requests that the receiver opens a connection to an upstream; the reply is `probed`. */
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -80,6 +80,11 @@
     permits: counter('upstream_permits_total', 'Permits wanted for limited upstreams.', [
       'outcome',
     ]),
+    slots: counter(
+      'upstream_slots_total',
+      'Slots wanted at services with few slots for many VMs, by outcome.',
+      ['outcome'],
+    ),
     readinessNotices: counter(
       'upstream_readiness_notices_total',
       'Responses in which upstreams wanted no more requests, by what they stated.',
--- a/test/fleet/createTestDesks.ts
+++ b/test/fleet/createTestDesks.ts
@@ -48,6 +48,11 @@
   const rests = new Map<Upstream, { until: number; statedMs: number }>();
   /** Requests that brittle desks let wait, and that they turn away in a second before they fall over. */
   let brittleness: { waiting: number; maxTurnedAway: number } | undefined;
+  /** How long desks that reject what exceeds their slots run a request; undefined if desks take all. */
+  let getRejectingMs: ((upstream: string) => number) | undefined;
+  const rejections: { at: number; vm: string; upstream: string; path: string }[] = [];
+  /** Desks that answer each request with an error at once. */
+  const failing = new Set<string>();
   const falls: { at: number; upstream: string }[] = [];
   const turnedAway: { at: number; vm: string; upstream: string }[] = [];
   const arrivals: { at: number; vm: string; upstream: string; path: string }[] = [];
@@ -102,6 +107,18 @@
           return;
         }
       }
+      if (getRejectingMs && running.size >= desk.slots) {
+        rejections.push({ at: host.now(), vm, upstream: desk.id, path });
+        handler.onHead(503, notices);
+        handler.onEnd();
+        return;
+      }
+      if (failing.has(desk.id)) {
+        handler.onHead(500, notices);
+        handler.onData(Buffer.from('failed'));
+        handler.onEnd();
+        return;
+      }
       running.add(call);
       if (host.isCrashing(path)) {
         setTimer(CRASH_MS, () => crash(desk.id, path));
@@ -126,7 +143,7 @@
         setTimer(SERVICE_MS, () => sendEvent(request.resumeAfter + 1));
         return;
       }
-      setTimer(SERVICE_MS, () => {
+      setTimer(getRejectingMs?.(desk.id) ?? SERVICE_MS, () => {
         end();
         const limit = limits.get(desk.id);
         const stated = leaving.has(desk) ? { ...notices, leaving: '1' } : notices;
@@ -243,6 +260,18 @@
         host.register(desk.id, desk);
       });
     },
+    /** Lets desks run `slots` requests, each for `getMs`, and reject what exceeds them. */
+    setRejecting: (slots: number, getMs: (upstream: string) => number) => {
+      getRejectingMs = getMs;
+      desks.forEach((desk) => {
+        desk.slots = slots;
+        host.register(desk.id, desk);
+      });
+    },
+    setFailing: (id: string, isFailing: boolean) =>
+      isFailing ? failing.add(id) : failing.delete(id),
+    rejections,
+    getRunning: () => [...calls].map(([{ id }, running]) => ({ id, count: running.size })),
     crashes,
   };
 }
--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -87,6 +87,8 @@
   const processes = new Map<string, number>();
   /** Keys that VMs wrote to the key-value service, once for each write. */
   const writtenKeys: string[] = [];
+  /** Times at which paused VMs go on. */
+  const pausedUntil = new Map<string, number>();
   const restartListeners = new Set<(vm: string) => void>();
   let callCount = 0;
   const events: { at: number; vm: string; name: string; fields: Record<string, unknown> }[] = [];
@@ -100,7 +102,7 @@
     return createRoutedEntry(
       {
         now: clock.now,
-        setTimer: clock.setTimer,
+        setTimer: (delayMs, callback) => setTimerOfVm(address, delayMs, callback),
         keyValue: createTestKeyValue(
           { ...clock, getFault: () => faults.get(address) ?? 'none' },
           { store, writtenKeys },
@@ -207,6 +209,19 @@
     );
   }
 
+  /** Sets a timer that fires once its VM is not paused. */
+  function setTimerOfVm(vm: string, delayMs: number, callback: () => void): () => void {
+    let cancel = clock.setTimer(delayMs, () => {
+      const leftMs = (pausedUntil.get(vm) ?? 0) - clock.now();
+      if (leftMs > 0) {
+        cancel = clock.setTimer(leftMs, callback);
+      } else {
+        callback();
+      }
+    });
+    return () => cancel();
+  }
+
   function waitLink(): Promise<void> {
     return new Promise((resolve) => {
       clock.setTimer(LINK_DELAY_MS, resolve);
@@ -318,7 +333,7 @@
     const departAt = startAt + frame.length / (options.linkBytesPerMs ?? Infinity);
     linkFreeAt.set(from, departAt);
     if (!lostLinks.has(`${from}>${to}`)) {
-      clock.setTimer(departAt - clock.now() + LINK_DELAY_MS, () => {
+      setTimerOfVm(to, departAt - clock.now() + LINK_DELAY_MS, () => {
         const received = Message.safeParse(readFrame(frame));
         if (received.success) {
           vms.get(to)?.receive(from, received.data);
@@ -395,6 +410,8 @@
     sendCalls,
     writtenKeys,
     restartVm,
+    /** Holds up the timers of a VM and the messages to it. */
+    pauseVm: (vm: string, forMs: number) => pausedUntil.set(vm, clock.now() + forMs),
     /** Calls `listener` whenever a VM is killed; returns a function that ends that. */
     onRestart: (listener: (vm: string) => void) => {
       restartListeners.add(listener);
