--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -45,6 +45,11 @@
 import createReach from '../reach/createReach';
 import createWitnesses from '../reach/createWitnesses';
 import createRateLimiting from '../rateLimits/createRateLimiting';
+import createSlotIssuer from '../slots/createSlotIssuer';
+import createSlotIssuers from '../slots/createSlotIssuers';
+import createSlotPlacement from '../slots/createSlotPlacement';
+import createSlots from '../slots/createSlots';
+import createSpeedEstimate from '../slots/createSpeedEstimate';
 import createStreamOrigins from '../streams/createStreamOrigins';
 import getSoftwareVersion from '../streams/getSoftwareVersion';
 import createUsage from '../usage/createUsage';
@@ -78,6 +83,7 @@
 const FIRST_REGISTRATIONS_MS = 5000;
 /** Keys of the VMs that are registered in the key-value service; see `src/members`. */
 const MEMBER_PREFIX = '/baobablink/members/';
+const SLOT_ISSUER_INTERVAL_MS = 250;
 /** Interval at which limits of upstreams are repeated, for VMs that missed them. */
 const LIMITS_INTERVAL_MS = 1000;
 const REACH_INTERVAL_MS = 250;
@@ -201,6 +207,7 @@
       usage.remove(id);
       rateLimiting.remove(id);
       places.remove(id);
+      speed.remove(id);
       prefill.remove(id);
       engines.close(id);
     },
@@ -418,6 +425,51 @@
     },
     { readiness, usage, health, prefillClient, rateLimiting, places, crashDetector },
   );
+  const speed = createSpeedEstimate();
+  const slotIssuers = createSlotIssuers({ members }, { ...options, startedAt });
+  const getReadyUpstreams = (now: number, service: string) =>
+    upstreams
+      .getAll()
+      .filter(
+        (upstream) => upstream.service === service && !readiness.has(now, upstream, 'leaving'),
+      );
+  const slots = createSlots(
+    {
+      ...host,
+      countSlot: (outcome) => metrics.slots.inc({ outcome }),
+    },
+    {
+      issuer: createSlotIssuer({
+        ...host,
+        isIssuer: (now, service) => slotIssuers.tryGetIssuer(now, service) === address,
+        getUpstreams: getReadyUpstreams,
+        getExpectedMs: speed.getExpectedMs,
+        recordDuration: speed.record,
+        getInFlight: usage.getInFlight,
+        getDataCentre: (vm) =>
+          members.getMembers().find((member) => member.address === vm)?.dataCentre ??
+          options.dataCentre,
+        isAlive: members.isAlive,
+        sendOrDeliver,
+      }),
+      issuers: slotIssuers,
+    },
+    { address },
+  );
+  const slotPlacement = createSlotPlacement(
+    {
+      ...host,
+      getManifest: () => manifest,
+      getUpstreams: getReadyUpstreams,
+      tryGetUpstream: upstreams.tryGet,
+      isPlaceNeeded: places.isNeeded,
+      getVmCount: members.getSharerCount,
+      getPlainCandidates: placement.getPlainCandidates,
+      place: placement.place,
+      attempt: attempts.attempt,
+    },
+    slots,
+  );
   const reach = createReach({
     ...host,
     getUpstreams: upstreams.getAll,
@@ -466,8 +518,8 @@
     ...host,
     getManifest: () => manifest,
     identify: identification.identify,
-    place: placement.place,
-    attempt: attempts.attempt,
+    place: slotPlacement.place,
+    attempt: slotPlacement.attempt,
     isPartitioned: reach.isPartitioned,
     tryGetCarrier: forwarder.tryGetCarrier,
     forward: forwarder.forward,
@@ -506,6 +558,7 @@
     streamOrigins,
     brittleServices,
     places,
+    slots,
     reach,
     witnesses,
   };
@@ -647,6 +700,7 @@
         metrics.isAllowanceHolder.set(allowances.isHolder(host.now()) ? 1 : 0);
       }
     });
+    runPeriodically(host, SLOT_ISSUER_INTERVAL_MS, () => slots.refresh(host.now()));
     runPeriodically(host, REACH_INTERVAL_MS, () => {
       reach.refresh(host.now());
       metrics.isPartitioned.set(reach.isPartitioned() ? 1 : 0);
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -93,6 +93,11 @@
       'Whether this VM holds the accounts of all allowances.',
       [],
     ),
+    slots: counter(
+      'upstream_slots_total',
+      'Slots wanted at services with few slots for many VMs, by outcome.',
+      ['outcome'],
+    ),
     readinessNotices: counter(
       'upstream_readiness_notices_total',
       'Responses in which upstreams wanted no more requests, by what they stated.',
