--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -13,6 +13,7 @@
 import type ResponseWriter from '../gateway/ResponseWriter';
 import type Change from '../keyValue/Change';
 import type Manifest from '../manifest/Manifest';
+import createUpstreamLoads from '../load/createUpstreamLoads';
 import createMembers from '../members/createMembers';
 import createCongestionLog from '../mesh/createCongestionLog';
 import type Message from '../mesh/Message';
@@ -91,6 +92,10 @@
     engines.tryGet(upstream)?.handleUseChange();
   });
   const health = createUpstreamHealth();
+  const loads = createUpstreamLoads({
+    getOwnInFlight: usage.getOwnInFlight,
+    tryGetUpstream: (id) => upstreams.tryGet(id),
+  });
   const engineStates = createEngineStates();
   const prefill = createPrefillScheduler(host.setTimer);
   const versions = new Map<string, number>();
@@ -167,6 +172,7 @@
     onRemoved: (id) => {
       engineStates.remove(id);
       health.remove(id);
+      loads.remove(id);
       usage.remove(id);
       rateLimiting.remove(id);
       places.remove(id);
@@ -229,8 +235,11 @@
       getEngineService: (service) => manifest?.services.get(service)?.engine,
       isPartitioned: () => reach.isPartitioned(),
       getRestMs: readiness.getRestMs,
-      observeHead: (upstream, status, headers) =>
-        readiness.observe(host.now(), upstream, host.decodeHead(status, headers)),
+      observeHead: (upstream, status, headers) => {
+        const head = host.decodeHead(status, headers);
+        readiness.observe(host.now(), upstream, head);
+        loads.observe(host.now(), upstream, head.load);
+      },
       getMaxConcurrentLoads: (engine) =>
         getMaxConcurrentLoads(getEngineIds().length, engineStates.getLoadCountElsewhere(engine)),
       announce: (state, requesters) => {
@@ -248,6 +257,7 @@
     {
       ...host,
       tryGetOwner,
+      takeUpstreamReports: loads.takeReports,
       broadcaster,
       getOwnedEngines: (now) => {
         const backlogs = prefill.getBacklogs(engines.getIds());
@@ -364,7 +374,9 @@
       observeReadiness: (now, upstream, head) => {
         readiness.observe(now, upstream, head);
         brittleServices.observe(now, upstream, head);
+        loads.observe(now, upstream, head.load);
       },
+      recordDuration: loads.recordDuration,
       recordByte: (now) => reach.recordByte(now),
       recordDoubt: (now) => reach.recordDoubt(now),
       getService: (name) => manifest?.services.get(name),
@@ -437,6 +449,7 @@
     mirror,
     broadcaster,
     usage,
+    loads,
     prefill,
     usagePublisher,
     engineStates,
--- a/src/entry/receiveMessage.ts
+++ b/src/entry/receiveMessage.ts
@@ -7,6 +7,7 @@
 import getUsageSource from '../usage/getUsageSource';
 import type Members from '../members/Members';
 import type Mirror from '../mirror/Mirror';
+import type UpstreamLoads from '../load/UpstreamLoads';
 import type Usage from '../usage/Usage';
 import type EngineStates from '../engines/EngineStates';
 import type PendingLoads from '../engines/PendingLoads';
@@ -42,6 +43,7 @@
   mirror: Mirror;
   broadcaster: ReturnType<typeof createBroadcaster>;
   usage: Usage;
+  loads: Pick<UpstreamLoads, 'receiveReports'>;
   prefill: ReturnType<typeof createPrefillScheduler>;
   usagePublisher: ReturnType<typeof createUsagePublisher>;
   engineStates: EngineStates;
@@ -100,6 +102,7 @@
         parts.prefill.updateBacklogs([[engine, backlogMs]]);
         parts.usage.receiveBusyAdapters(now, engine, busy);
       });
+      parts.loads.receiveReports(now, usageMessage.upstreams ?? []);
       parts.usagePublisher.collect(usageMessage);
       if (usageMessage.states.filter(parts.engineStates.applyState).length > 0) {
         parts.pendingLoads.resolveServable();
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -7,6 +7,7 @@
 import type Readiness from '../readiness/Readiness';
 import type RateLimiting from '../rateLimits/RateLimiting';
 import type createPrefillClient from '../prefill/createPrefillClient';
+import createIntervalMeter from '../load/createIntervalMeter';
 import getPrefillMs from '../prefill/getPrefillMs';
 import type createConnections from '../upstream/createConnections';
 import getSoftwareVersion from '../streams/getSoftwareVersion';
@@ -67,6 +68,8 @@
   recordBegun(now: number, request: CallerRequest): void;
   /** Records what the head of a response states about its upstream's readiness. */
   observeReadiness(now: number, upstream: Upstream, head: ResponseHead): void;
+  /** Records how long an upstream took, for durations of one kind. */
+  recordDuration(now: number, upstream: Upstream, kind: string, durationMs: number): void;
   /** Records that an upstream has sent bytes. */
   recordByte(now: number): void;
   /** Records that a request failed in a way that a partition from all upstreams explains. */
@@ -181,6 +184,9 @@
     }
     let beganAt: number | undefined;
     let sentAt = host.now();
+    const recordStreamData = createIntervalMeter((now, intervalMs) =>
+      host.recordDuration(now, upstream, `${request.service} events`, intervalMs),
+    );
     const pendingAttempt: PendingAttempt = {
       sentAt,
       hasBegun: false,
@@ -229,7 +235,12 @@
           parts.rateLimiting.observe(now, upstream, head, sentAt);
           host.observeReadiness(now, upstream, head);
         },
+        onStreamData: recordStreamData,
         onFirstByte: (now, head) => {
+          if (beganAt === undefined && head.status < MIN_REDIRECT_STATUS) {
+            const kind = `${request.service} ${request.route.name}`;
+            host.recordDuration(now, upstream, kind, now - sentAt);
+          }
           beganAt ??= now;
           host.recordByte(now);
           if (isEngine) {
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -27,6 +27,8 @@
   decodeHead(status: number, headers: Record<string, string | string[] | undefined>): ResponseHead;
   onHead(now: number, head: ResponseHead): void;
   onFirstByte(now: number, head: ResponseHead): void;
+  /** Called for each piece of a stream that arrives. */
+  onStreamData?(now: number): void;
   /** Called before the first event of a stream that may be resumed is written to the caller. */
   onFirstEvent(now: number): void;
 }
@@ -186,6 +188,9 @@
         }
         recordBytes(request, now);
         restartSilenceTimer();
+        if (isStreaming) {
+          host.onStreamData?.(now);
+        }
         if (!isStreaming) {
           bufferBody(head, chunk);
           return;
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -255,6 +255,21 @@
       }),
     ),
     states: z.array(EngineState),
+    /** What was learned about upstreams that state a load; see `UpstreamReport`. */
+    upstreams: z
+      .array(
+        z.tuple([
+          z.string(),
+          z.number(),
+          z.number(),
+          z.number(),
+          z.number(),
+          z.number(),
+          z.number(),
+          z.array(z.number()),
+        ]),
+      )
+      .optional(),
   }),
   /**
    * Reports the sender's use of one engine to its owner. Each item of `share` is an adapter, its
--- a/src/usage/createUsage.ts
+++ b/src/usage/createUsage.ts
@@ -191,6 +191,11 @@
     return sum;
   }
 
+  /** Returns the requests that this VM has in flight at an upstream. */
+  function getOwnInFlight(upstream: string): number {
+    return ownUsage.get(upstream)?.sum ?? 0;
+  }
+
   /**
    * Returns the use of an adapter by all VMs. Only the engine's owner receives the times of last
    * use from other VMs; on other VMs `lastUsedAt` is the last use by this VM.
@@ -250,6 +255,7 @@
     receiveAdapterUsage,
     receiveBusyAdapters,
     getInFlight,
+    getOwnInFlight,
     getUse,
     getBusyAdapters,
     remove,
--- a/src/usage/createUsagePublisher.ts
+++ b/src/usage/createUsagePublisher.ts
@@ -1,4 +1,5 @@
 import type EngineState from '../engines/EngineState';
+import type UpstreamReport from '../load/UpstreamReport';
 import type Message from '../mesh/Message';
 import type createBroadcaster from '../broadcast/createBroadcaster';
 import type Usage from './Usage';
@@ -12,6 +13,8 @@
   tryGetOwner(engine: string): string | undefined;
   /** Returns the prefill backlog and the busy adapters of each engine that this VM owns. */
   getOwnedEngines(now: number): EngineUsage[];
+  /** Returns what this VM learned about upstreams that state a load since the last call. */
+  takeUpstreamReports?(now: number): UpstreamReport[];
   broadcaster: ReturnType<typeof createBroadcaster>;
 }
 
@@ -30,6 +33,8 @@
   const { broadcaster } = host;
   const engines = new Map<string, EngineUsage>();
   const states = new Map<string, EngineState>();
+  /** Reports of VMs of this data centre, with the time at which they arrived. */
+  let reports: { at: number; report: UpstreamReport }[] = [];
 
   /** Publishes the in-flight requests, and the engine updates collected since the last call. */
   function publish(): void {
@@ -43,9 +48,19 @@
     host
       .getOwnedEngines(now)
       .forEach((engineUsage) => engines.set(engineUsage.engine, engineUsage));
-    const engineUpdates = { engines: [...engines.values()], states: [...states.values()] };
+    const collected = reports.map(({ at, report: [id, startedAt, ageMs, ...rest] }) => {
+      const report: UpstreamReport = [id, startedAt, ageMs + Math.round(now - at), ...rest];
+      return report;
+    });
+    const upstreams = [...(host.takeUpstreamReports?.(now) ?? []), ...collected];
+    const engineUpdates = {
+      engines: [...engines.values()],
+      states: [...states.values()],
+      ...(upstreams.length > 0 ? { upstreams } : {}),
+    };
     engines.clear();
     states.clear();
+    reports = [];
     const hub = broadcaster.isRelayed() ? broadcaster.getHub(now) : undefined;
     if (hub === options.address) {
       const { dataCentre } = options;
@@ -94,6 +109,8 @@
     if (!broadcaster.isRelayed() || message.dataCentre !== undefined) {
       return;
     }
+    const now = host.now();
+    message.upstreams?.forEach((report) => reports.push({ at: now, report }));
     message.engines.forEach((engineUsage) => engines.set(engineUsage.engine, engineUsage));
     message.states.forEach((state) => {
       const known = states.get(state.engine);
