--- a/src/engines/LoadTarget.ts
+++ b/src/engines/LoadTarget.ts
@@ -5,6 +5,8 @@
   pending: number;
   inFlight: number;
   slots: number;
+  /** Lasting duration of work as a multiple of the median engine's; 1 if it is not known. */
+  duration?: number;
   /** Prefill time of the prompts that are queued on the engine, in milliseconds. */
   waitMs: number;
   /** Adapter slots that hold no adapter. */
--- a/src/engines/chooseLoadTarget.ts
+++ b/src/engines/chooseLoadTarget.ts
@@ -29,6 +29,7 @@
  * else the one at which a request begins first, after the waits for an adapter slot and for prefill;
  * undefined if too many loads wait everywhere. Among the preferred engines, one with a free adapter
  * slot comes first. Designed for demand that alternates between many adapters on few adapter slots.
+ * The load of an engine counts by its speed, so that a fast one carries more adapters.
  */
 export default function chooseLoadTarget(
   key: string,
@@ -39,13 +40,13 @@
     key,
     targets.map((target) => target.id),
   ).map((id) => byId.get(id)!);
-  const meanInFlight =
-    targets.reduce((sum, target) => sum + target.inFlight, 0) / Math.max(1, targets.length);
+  const meanLoad =
+    targets.reduce((sum, target) => sum + getLoad(target), 0) / Math.max(1, targets.length);
   const hasSpareCapacity = (target: LoadTarget) =>
     target.pending < MAX_PENDING_LOADS &&
     getWaitingLoads(target) === 0 &&
     target.inFlight < target.slots * MAX_FILL_RATIO &&
-    target.inFlight <= meanInFlight * MAX_LOAD_RATIO + LOAD_SLACK_REQUESTS &&
+    getLoad(target) <= meanLoad * MAX_LOAD_RATIO + LOAD_SLACK_REQUESTS &&
     target.waitMs <= MAX_WAIT_MS;
   const preferred = ranked.slice(0, PREFERRED_TARGETS).filter(hasSpareCapacity);
   return (
@@ -56,6 +57,11 @@
   );
 }
 
+/** Returns the requests in flight of an engine, as many as are as much work for the median engine. */
+function getLoad({ inFlight, duration = 1 }: LoadTarget): number {
+  return inFlight * duration;
+}
+
 /** Returns the loads that an adapter waits for on an engine before one of its slots is free. */
 function getWaitingLoads({ pending, freeAdapterSlots, idleAdapterSlots }: LoadTarget): number {
   return Math.max(0, pending + 1 - freeAdapterSlots - idleAdapterSlots);
@@ -63,7 +69,7 @@
 
 function getFirstToBegin(ranked: readonly LoadTarget[]): LoadTarget | undefined {
   const getBeginMs = (target: LoadTarget) =>
-    getWaitingLoads(target) * SLOT_INTERVAL_MS + target.waitMs;
+    getWaitingLoads(target) * SLOT_INTERVAL_MS + target.waitMs * (target.duration ?? 1);
   return ranked
     .filter(
       (target) =>
--- a/src/engines/isCopyWanted.ts
+++ b/src/engines/isCopyWanted.ts
@@ -27,9 +27,13 @@
   mean: Pick<Candidate, 'inFlight' | 'waitMs'>,
   adapterInFlight: number,
 ): boolean {
+  // The means are computed from all engines, and most adapters are in no such use.
+  if (adapterInFlight < MIN_ADAPTER_REQUESTS) {
+    return false;
+  }
   const slack = Math.min(MAX_SLACK_REQUESTS, holder.slots * SLACK_FRACTION);
-  const isOverloaded =
+  return (
     holder.inFlight > mean.inFlight * MAX_LOAD_RATIO + slack ||
-    holder.waitMs > mean.waitMs * MAX_LOAD_RATIO + MAX_EXTRA_WAIT_MS;
-  return isOverloaded && adapterInFlight >= MIN_ADAPTER_REQUESTS;
+    holder.waitMs > mean.waitMs * MAX_LOAD_RATIO + MAX_EXTRA_WAIT_MS
+  );
 }
--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -9,6 +9,7 @@
 import type ActiveRequest from '../gateway/ActiveRequest';
 import type Placement from '../gateway/Placement';
 import type Refusal from '../gateway/Refusal';
+import type UpstreamLoads from '../load/UpstreamLoads';
 import type Manifest from '../manifest/Manifest';
 import type Readiness from '../readiness/Readiness';
 import type RateLimiting from '../rateLimits/RateLimiting';
@@ -18,6 +19,7 @@
 import getSlotWaitMs from '../engines/getSlotWaitMs';
 import type Candidate from '../upstream/Candidate';
 import chooseUpstream from '../upstream/chooseUpstream';
+import createCandidates from '../upstream/createCandidates';
 import type Upstream from '../upstream/Upstream';
 import type UpstreamHealth from '../upstream/UpstreamHealth';
 import type Upstreams from '../upstream/Upstreams';
@@ -57,6 +59,7 @@
   parts: {
     upstreams: Upstreams;
     usage: Usage;
+    loads: Pick<UpstreamLoads, 'isStated' | 'getStated' | 'getDuration' | 'getUsualDuration'>;
     health: UpstreamHealth;
     readiness: Readiness;
     engineStates: EngineStates;
@@ -65,7 +68,8 @@
   },
   options: { dataCentre: string },
 ) {
-  const { upstreams, usage, health, readiness, engineStates, rateLimiting } = parts;
+  const { upstreams, usage, loads, readiness, engineStates, rateLimiting } = parts;
+  const getCandidates = createCandidates(host, parts, options);
   let copyRequestedAt = -Infinity;
 
   /**
@@ -214,9 +218,14 @@
   ): void {
     const getMean = (getValue: (id: string) => number) =>
       ready.reduce((sum, { id }) => sum + getValue(id), 0) / ready.length;
+    // Computed from all engines, so only if it is needed.
     const mean = {
-      inFlight: getMean((id) => usage.getInFlight(now, id)),
-      waitMs: getMean(host.getBacklogMs),
+      get inFlight() {
+        return getMean((id) => usage.getInFlight(now, id));
+      },
+      get waitMs() {
+        return getMean(host.getBacklogMs);
+      },
     };
     const adapterInFlight = usage.getUse(now, chosen.id, wanted.key).inFlight;
     if (
@@ -270,27 +279,6 @@
     });
   }
 
-  function getCandidates(
-    now: number,
-    ready: readonly Upstream[],
-    excludedUpstreams: ReadonlySet<string>,
-  ): Candidate[] {
-    const ids = ready.map(({ id }) => id);
-    return ready
-      .filter(({ id }) => !excludedUpstreams.has(id))
-      .filter((upstream) => readiness.isOpen(now, upstream))
-      .map((upstream) => ({
-        id: upstream.id,
-        dataCentre: upstream.dataCentre,
-        slots: upstream.slots,
-        waitMs: host.getBacklogMs(upstream.id),
-        inFlight: usage.getInFlight(now, upstream.id),
-        failureRate: health.getFailureRate(now, upstream.id),
-        relativeLatency: health.getRelativeLatency(upstream.id, ids),
-        isSuspended: readiness.isAvoided(now, upstream),
-      }));
-  }
-
   /**
    * Returns the engines that can load an adapter now: those that state no limit on requests, or all
    * if each states one.
@@ -352,6 +340,7 @@
               pending: engineState.queued + loadingCount,
               inFlight: usage.getInFlight(now, upstream.id),
               slots: upstream.slots,
+              duration: loads.getUsualDuration(upstream),
               waitMs: host.getBacklogMs(upstream.id),
               freeAdapterSlots: adapterSlots - engineState.adapters.length,
               idleAdapterSlots: engineState.adapters.filter(
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -282,6 +282,7 @@
     {
       upstreams,
       usage,
+      loads,
       health,
       readiness,
       engineStates,
--- a/src/load/createDurationEstimate.ts
+++ b/src/load/createDurationEstimate.ts
@@ -49,5 +49,10 @@
     return Math.exp(usualLog + freshness * (recentLog - usualLog));
   }
 
-  return { record, get };
+  /** Returns the long-term value; undefined if there are too few samples. */
+  function getUsual(): number | undefined {
+    return sampleCount < MIN_SAMPLES ? undefined : Math.exp(usualLog);
+  }
+
+  return { record, get, getUsual };
 }
--- a/src/load/createUpstreamLoads.ts
+++ b/src/load/createUpstreamLoads.ts
@@ -164,6 +164,14 @@
       : limit((learned ?? 1) * getSlowdown(now, known));
   }
 
+  /** Returns the lasting duration of work at an upstream, without that of the moment; 1 if unknown. */
+  function getUsualDuration({ id, startedAt }: Pick<Incarnation, 'id' | 'startedAt'>): number {
+    const known = knownById.get(id);
+    return known?.startedAt === startedAt && known.stated
+      ? limit((known.durations.getUsual() ?? 1) * (known.meanSlowdown ?? 1))
+      : 1;
+  }
+
   /** Returns the duration of work that an upstream states; an old value gives way to the mean. */
   function getSlowdown(now: number, { stated, meanSlowdown }: Known): number {
     if (stated === undefined || meanSlowdown === undefined) {
@@ -226,6 +234,7 @@
     recordDuration,
     getStated,
     getDuration,
+    getUsualDuration,
     getSpeed,
     /** Returns whether an upstream of a service has stated a load. */
     isStated: (service: string) => statingServices.has(service),
--- a/src/upstream/Candidate.ts
+++ b/src/upstream/Candidate.ts
@@ -11,6 +11,12 @@
   failureRate: number;
   /** Recent latency divided by the median of its peers; 1 means equally fast. */
   relativeLatency: number;
+  /** Duration of work now as a multiple of the median upstream's; undefined if it is not known. */
+  duration?: number;
+  /** Whether upstreams of the service state their load. */
+  isLoadStated?: boolean;
+  /** Whether all VMs together have as many requests there as its pace allows. */
+  isAtPace?: boolean;
   isSuspended: boolean;
 }
 
--- a/src/upstream/createUpstreamHealth.ts
+++ b/src/upstream/createUpstreamHealth.ts
@@ -76,21 +76,31 @@
     health.failureRate = Math.max(health.failureRate, REFUSAL_FAILURE_RATE);
   }
 
-  /** Returns the latency of an upstream divided by the median of `peers`, within bounds. */
-  function getRelativeLatency(upstream: string, peers: readonly string[]): number {
-    const latencies = peers
-      .map((peer) => healths.get(peer)?.latencyMs)
-      .filter((latency) => latency !== undefined);
-    const own = healths.get(upstream)?.latencyMs;
-    if (own === undefined || latencies.length < 2) {
-      return 1;
+  /**
+   * Returns a function that returns the latency of an upstream divided by the median of `peers`, within
+   * bounds. The median is computed once for all candidates of a choice.
+   */
+  function compareLatencies(peers: readonly string[]): (upstream: string) => number {
+    const latencies = new Float64Array(peers.length);
+    let count = 0;
+    peers.forEach((peer) => {
+      const latencyMs = healths.get(peer)?.latencyMs;
+      if (latencyMs !== undefined) {
+        latencies[count] = latencyMs;
+        count += 1;
+      }
+    });
+    if (count < 2) {
+      return () => 1;
     }
-    const sorted = [...latencies].sort((left, right) => left - right);
-    const median = sorted[Math.floor((sorted.length - 1) / 2)];
-    return Math.min(
-      MAX_RELATIVE_LATENCY,
-      Math.max(MIN_RELATIVE_LATENCY, own / Math.max(1, median)),
-    );
+    const sorted = latencies.subarray(0, count).sort();
+    const median = sorted[Math.floor((count - 1) / 2)];
+    return (upstream) => {
+      const own = healths.get(upstream)?.latencyMs;
+      return own === undefined
+        ? 1
+        : Math.min(MAX_RELATIVE_LATENCY, Math.max(MIN_RELATIVE_LATENCY, own / Math.max(1, median)));
+    };
   }
 
   return {
@@ -98,7 +108,7 @@
     recordFailure,
     recordRefusalElsewhere,
     getFailureRate: (now: number, upstream: string) => decayHealth(now, upstream).failureRate,
-    getRelativeLatency,
+    compareLatencies,
     isSuspended: (now: number, upstream: string) => now < decayHealth(now, upstream).suspendedUntil,
     remove: (upstream: string) => healths.delete(upstream),
   };
