--- a/src/entry/createPlacement.ts
+++ b/src/entry/createPlacement.ts
@@ -46,6 +46,8 @@
   isVersionKnownToAll(now: number, upstream: Upstream): boolean;
   /** Returns the prefill time of the prompts queued on an engine, in milliseconds. */
   getBacklogMs(engine: string): number;
+  /** Returns the requests that all VMs together may have in flight at an upstream now. */
+  getPace(now: number, upstream: Upstream): number;
   /** Returns a number from 0 to 1. */
   random(): number;
 }
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -27,6 +27,8 @@
 import watchLoopDelay from '../shared/watchLoopDelay';
 import createUpstreamHealth from '../upstream/createUpstreamHealth';
 import createUpstreams from '../upstream/createUpstreams';
+import createPace from '../pace/createPace';
+import createPaceTriggers from '../pace/createPaceTriggers';
 import createPrefillScheduler from '../prefill/createPrefillScheduler';
 import createPrefillClient from '../prefill/createPrefillClient';
 import createBroadcaster from '../broadcast/createBroadcaster';
@@ -92,9 +94,25 @@
     engines.tryGet(upstream)?.handleUseChange();
   });
   const health = createUpstreamHealth();
+  const pace = createPace({
+    ...host,
+    setPacedCount: (count) => metrics.pacedUpstreams.set(count),
+    countFall: (reason) => metrics.paceFalls.inc({ reason }),
+  });
+  const paceTriggers = createPaceTriggers(
+    {
+      isServiceReachable: () => mirror.isServiceReachable(),
+      getUpstreams: () => upstreams.getAll(),
+      getInFlight: usage.getInFlight,
+    },
+    pace,
+    { startedAt },
+  );
   const loads = createUpstreamLoads({
     getOwnInFlight: usage.getOwnInFlight,
     tryGetUpstream: (id) => upstreams.tryGet(id),
+    onAnswer: pace.recordAnswer,
+    onRejection: pace.recordRejection,
   });
   const engineStates = createEngineStates();
   const prefill = createPrefillScheduler(host.setTimer);
@@ -165,6 +183,7 @@
     getKeyValueRestoredAt: mirror.getRestoredAt,
     onChange: (upstream) => {
       readiness.observeRegistration(host.now(), upstream);
+      paceTriggers.observeRegistration(host.now(), upstream);
       engineStates.applyRegistration(upstream);
       engines.reopenIfRestarted(upstream);
       pendingLoads.resolveServable();
@@ -173,6 +192,8 @@
       engineStates.remove(id);
       health.remove(id);
       loads.remove(id);
+      pace.remove(id);
+      paceTriggers.remove(id);
       usage.remove(id);
       rateLimiting.remove(id);
       places.remove(id);
@@ -277,6 +298,7 @@
       getManifest: () => manifest,
       getVersion,
       getBacklogMs: prefill.getBacklogMs,
+      getPace: pace.getLimit,
       isVersionKnownToAll: (now, upstream) => streamOrigins.isKnownToAll(now, upstream),
     },
     {
@@ -378,6 +400,8 @@
         loads.observe(now, upstream, head.load);
       },
       recordDuration: loads.recordDuration,
+      recordRejection: loads.recordRejection,
+      recordSuspension: (now, upstream) => pace.begin(now, upstream, 'suspended', 0),
       recordByte: (now) => reach.recordByte(now),
       recordDoubt: (now) => reach.recordDoubt(now),
       getService: (name) => manifest?.services.get(name),
@@ -579,6 +603,7 @@
     });
     runPeriodically(host, USAGE_INTERVAL_MS, () => {
       usagePublisher.publish();
+      paceTriggers.refresh(host.now());
       checkCongestion(host.now());
     });
     runPeriodically(host, PERMIT_ISSUER_INTERVAL_MS, () => rateLimiting.refresh(host.now()));
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -86,6 +86,11 @@
     'warn',
     'The upstreams of a service state that they end if they turn many requests away, or no longer do.',
   ),
+  upstreamPaced: e(
+    245,
+    'info',
+    'The pace of an upstream that has just started or recovered began, fell or ended; at most one line per second and reason.',
+  ),
   traitBlocked: e(250, 'warn', 'Requests with a trait that crashes upstreams are refused.'),
   traitUnblocked: e(251, 'info', 'Requests with a trait are no longer refused.'),
   blockUnreadable: e(252, 'warn', 'The record of a block could not be decoded.'),
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -70,6 +70,10 @@
   observeReadiness(now: number, upstream: Upstream, head: ResponseHead): void;
   /** Records how long an upstream took, for durations of one kind. */
   recordDuration(now: number, upstream: Upstream, kind: string, durationMs: number): void;
+  /** Records that an upstream rejected a request or did not answer it. */
+  recordRejection(now: number, upstream: Upstream): void;
+  /** Records that an upstream was suspended after failures. */
+  recordSuspension(now: number, upstream: Upstream): void;
   /** Records that an upstream has sent bytes. */
   recordByte(now: number): void;
   /** Records that a request failed in a way that a partition from all upstreams explains. */
@@ -276,7 +280,11 @@
     if (['notSent', 'lost', 'silent'].includes(outcome.kind) && isFailure) {
       host.recordDoubt(now);
     }
+    if (isFailure || (outcome.kind === 'notRun' && outcome.reason === 'full')) {
+      host.recordRejection(now, upstream);
+    }
     if (isFailure && parts.health.recordFailure(now, upstream.id)) {
+      host.recordSuspension(now, upstream);
       host.log('upstreamSuspended', { upstream: upstream.id, cause: outcome.kind });
     }
     const lastedMs = (request.lastByteAt ?? now) - (beganAt ?? Infinity);
--- a/src/load/createUpstreamLoads.ts
+++ b/src/load/createUpstreamLoads.ts
@@ -38,12 +38,17 @@
   slowdownCount: number;
   durations: ReturnType<typeof createDurationEstimate>;
   unreportedDurations: number[];
+  unreportedRejections: number;
 }
 
 interface UpstreamLoadsHost {
   /** Returns the requests that this VM has in flight at an upstream. */
   getOwnInFlight(id: string): number;
   tryGetUpstream(id: string): Incarnation | undefined;
+  /** Called for each answer, with its duration as a multiple of the usual. */
+  onAnswer(now: number, upstream: string, multiple: number): void;
+  /** Called if an upstream rejected requests or did not answer them. */
+  onRejection(now: number, upstream: string): void;
 }
 
 /**
@@ -72,6 +77,7 @@
       slowdownCount: 0,
       durations: createDurationEstimate(),
       unreportedDurations: [],
+      unreportedRejections: 0,
     };
     knownById.set(id, created);
     unreported.delete(id);
@@ -121,12 +127,23 @@
     const usualMs = durationMs / getSlowdown(now, known);
     const multiple = limit(usualMs / median.record(usualMs));
     known.durations.record(now, multiple);
+    host.onAnswer(now, upstream.id, multiple);
     if (known.stated && known.unreportedDurations.length < MAX_REPORTED_DURATIONS) {
       known.unreportedDurations.push(Math.round(multiple * HUNDREDTHS));
       unreported.set(upstream.id, known);
     }
   }
 
+  /** Records that an upstream rejected a request or did not answer it. */
+  function recordRejection(now: number, upstream: Incarnation): void {
+    host.onRejection(now, upstream.id);
+    const known = getKnown(upstream);
+    if (known?.stated) {
+      known.unreportedRejections += 1;
+      unreported.set(upstream.id, known);
+    }
+  }
+
   /** Returns the newest load that an upstream states, with what this VM has sent there since. */
   function getStated(
     now: number,
@@ -194,15 +211,27 @@
   /** Returns what this VM learned since the last call. */
   function takeReports(now: number): UpstreamReport[] {
     const reports = [...unreported].flatMap(([id, known]): UpstreamReport[] => {
-      const { startedAt, stated, unreportedDurations } = known;
-      known.unreportedDurations = [];
+      const { startedAt, stated, unreportedDurations, unreportedRejections } = known;
+      Object.assign(known, { unreportedDurations: [], unreportedRejections: 0 });
       if (!stated) {
         return [];
       }
       const { at, running, waiting, slots } = stated;
       const slowdown = Math.round((stated.slowdown ?? 0) * HUNDREDTHS);
       const ageMs = Math.round(now - at);
-      return [[id, startedAt, ageMs, running, waiting, slots, slowdown, unreportedDurations]];
+      return [
+        [
+          id,
+          startedAt,
+          ageMs,
+          running,
+          waiting,
+          slots,
+          slowdown,
+          unreportedDurations,
+          unreportedRejections,
+        ],
+      ];
     });
     unreported.clear();
     return reports;
@@ -210,28 +239,41 @@
 
   /** Records what other VMs learned about upstreams that are registered. */
   function receiveReports(now: number, reports: readonly UpstreamReport[]): void {
-    reports.forEach(([id, startedAt, ageMs, running, waiting, slots, slowdown, durations]) => {
+    reports.forEach((report) => {
+      const [id, startedAt] = report;
       const upstream = host.tryGetUpstream(id);
-      if (upstream?.startedAt !== startedAt) {
-        return;
+      const known = upstream?.startedAt === startedAt ? getKnown(upstream) : undefined;
+      if (upstream && known) {
+        statingServices.add(upstream.service);
+        receiveReport(now, known, report);
       }
-      statingServices.add(upstream.service);
-      const known = getKnown({ id, startedAt });
-      const at = now - Math.max(0, ageMs);
-      if (known && at > (known.stated?.at ?? -Infinity) + ECHO_MS) {
-        const ownInFlight = host.getOwnInFlight(id);
-        const statedSlowdown = slowdown > 0 ? slowdown / HUNDREDTHS : undefined;
-        state(known, { running, waiting, slots, slowdown: statedSlowdown, at, ownInFlight });
-      }
-      durations
-        .filter((multiple) => multiple > 0)
-        .forEach((multiple) => known?.durations.record(now, limit(multiple / HUNDREDTHS)));
     });
   }
 
+  function receiveReport(now: number, known: Known, report: UpstreamReport): void {
+    const [id, , ageMs, running, waiting, slots, slowdown, durations, rejections] = report;
+    const at = now - Math.max(0, ageMs);
+    if (at > (known.stated?.at ?? -Infinity) + ECHO_MS) {
+      const ownInFlight = host.getOwnInFlight(id);
+      const statedSlowdown = slowdown > 0 ? slowdown / HUNDREDTHS : undefined;
+      state(known, { running, waiting, slots, slowdown: statedSlowdown, at, ownInFlight });
+    }
+    durations
+      .filter((hundredths) => hundredths > 0)
+      .forEach((hundredths) => {
+        const multiple = limit(hundredths / HUNDREDTHS);
+        known.durations.record(now, multiple);
+        host.onAnswer(now, id, multiple);
+      });
+    if (rejections > 0) {
+      host.onRejection(now, id);
+    }
+  }
+
   return {
     observe,
     recordDuration,
+    recordRejection,
     getStated,
     getDuration,
     getUsualDuration,
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -267,6 +267,7 @@
           z.number(),
           z.number(),
           z.array(z.number()),
+          z.number(),
         ]),
       )
       .optional(),
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -94,6 +94,14 @@
       'Upstreams that state a limit for requests of all VMs.',
       [],
     ),
+    pacedUpstreams: gauge(
+      'paced_upstreams',
+      'Upstreams that have just started or recovered and get requests at a pace.',
+      [],
+    ),
+    paceFalls: counter('upstream_pace_falls_total', 'Falls of the pace of upstreams, by reason.', [
+      'reason',
+    ]),
     inFlight: gauge('requests_in_flight', 'In-flight requests on this VM.', []),
   };
 }
--- a/src/upstream/createCandidates.ts
+++ b/src/upstream/createCandidates.ts
@@ -15,6 +15,8 @@
   getBacklogMs(engine: string): number;
   /** Returns a number from 0 to 1. */
   random(): number;
+  /** Returns the requests that all VMs together may have in flight at an upstream now. */
+  getPace(now: number, upstream: Upstream): number;
 }
 
 /**
@@ -52,7 +54,7 @@
               host.random,
               (upstream) => isUsable(upstream) && !readiness.isAvoided(now, upstream),
             ).map((upstream) => createStatedCandidate(now, upstream));
-      const hasRoom = sample.some(({ inFlight, slots }) => inFlight < slots);
+      const hasRoom = sample.some(({ inFlight, slots, isAtPace }) => inFlight < slots && !isAtPace);
       return hasRoom
         ? sample
         : ready.filter(isUsable).map((upstream) => createStatedCandidate(now, upstream));
@@ -67,9 +69,11 @@
   function createStatedCandidate(now: number, upstream: Upstream): Candidate {
     const candidate = createCandidate(now, upstream);
     const stated = loads.getStated(now, upstream);
+    const inFlight = getMergedInFlight(candidate.inFlight, stated, upstream.slots);
     return {
       ...candidate,
-      inFlight: getMergedInFlight(candidate.inFlight, stated, upstream.slots),
+      inFlight,
+      isAtPace: inFlight >= host.getPace(now, upstream),
       duration: loads.getDuration(now, upstream),
       isLoadStated: true,
     };
--- a/test/routed/upstreamLoads.test.ts
+++ b/test/routed/upstreamLoads.test.ts
@@ -76,7 +76,7 @@
     listener.receiveReports(1000, reports);
     expect(listener.getStated(1000, FIRST)).to.include({ inFlight: 6, ageMs: 50 });
     expect(listener.getSpeed(950, FIRST)).to.equal(0.5);
-    listener.receiveReports(1000, [['unknown', 1, 0, 1, 1, 1, 100, []]]);
+    listener.receiveReports(1000, [['unknown', 1, 0, 1, 1, 1, 100, [], 0]]);
     expect(listener.getStated(1000, { id: 'unknown', startedAt: 1 })).to.equal(undefined);
   });
 
@@ -86,7 +86,7 @@
       fc.property(fc.array(fc.tuple(figure, figure), { maxLength: 30 }), (figures) => {
         const loads = createUpstreamLoads(createHost());
         figures.forEach(([slowdown, durationMs], index) => {
-          loads.receiveReports(index * 100, [['a', 1, 0, 1, 1, 4, slowdown, [durationMs]]]);
+          loads.receiveReports(index * 100, [['a', 1, 0, 1, 1, 4, slowdown, [durationMs], 0]]);
           loads.recordDuration(index * 100, FIRST, 's', durationMs);
         });
         const speed = loads.getSpeed(figures.length * 100, FIRST);
@@ -111,6 +111,8 @@
     getOwnInFlight() {
       return this.own;
     },
+    onAnswer: () => {},
+    onRejection: () => {},
     tryGetUpstream: (id: string) => PEERS.find((peer) => peer.id === id),
   };
 }
