--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -101,8 +101,10 @@
   });
   const paceTriggers = createPaceTriggers(
     {
+      isStated: (service) => loads.isStated(service),
       isServiceReachable: () => mirror.isServiceReachable(),
       getUpstreams: () => upstreams.getAll(),
+      tryGetUpstream: (id) => upstreams.tryGet(id),
       getInFlight: usage.getInFlight,
     },
     pace,
@@ -112,6 +114,12 @@
     getOwnInFlight: usage.getOwnInFlight,
     tryGetUpstream: (id) => upstreams.tryGet(id),
     onAnswer: pace.recordAnswer,
+    onStated: (now, id, waiting, isFirst) => {
+      pace.recordWaiting(now, id, waiting);
+      if (isFirst) {
+        paceTriggers.observeFirstStatement(now, id);
+      }
+    },
     onRejection: pace.recordRejection,
   });
   const engineStates = createEngineStates();
@@ -401,7 +409,7 @@
       },
       recordDuration: loads.recordDuration,
       recordRejection: loads.recordRejection,
-      recordSuspension: (now, upstream) => pace.begin(now, upstream, 'suspended', 0),
+      recordSuspension: paceTriggers.observeSuspension,
       recordByte: (now) => reach.recordByte(now),
       recordDoubt: (now) => reach.recordDoubt(now),
       getService: (name) => manifest?.services.get(name),
--- a/src/load/createUpstreamLoads.ts
+++ b/src/load/createUpstreamLoads.ts
@@ -47,6 +47,8 @@
   tryGetUpstream(id: string): Incarnation | undefined;
   /** Called for each answer, with its duration as a multiple of the usual. */
   onAnswer(now: number, upstream: string, multiple: number): void;
+  /** Called for each newer load that an upstream states. */
+  onStated(now: number, upstream: string, waiting: number, isFirst: boolean): void;
   /** Called if an upstream rejected requests or did not answer them. */
   onRejection(now: number, upstream: string): void;
 }
@@ -89,7 +91,9 @@
     const known = load && getKnown(upstream);
     if (known) {
       statingServices.add(upstream.service);
+      const isFirst = known.stated === undefined;
       state(known, { ...load, at: now, ownInFlight: host.getOwnInFlight(upstream.id) });
+      host.onStated(now, upstream.id, load.waiting, isFirst);
       unreported.set(upstream.id, known);
     }
   }
@@ -254,9 +258,11 @@
     const [id, , ageMs, running, waiting, slots, slowdown, durations, rejections] = report;
     const at = now - Math.max(0, ageMs);
     if (at > (known.stated?.at ?? -Infinity) + ECHO_MS) {
+      const isFirst = known.stated === undefined;
       const ownInFlight = host.getOwnInFlight(id);
       const statedSlowdown = slowdown > 0 ? slowdown / HUNDREDTHS : undefined;
       state(known, { running, waiting, slots, slowdown: statedSlowdown, at, ownInFlight });
+      host.onStated(now, id, waiting, isFirst);
     }
     durations
       .filter((hundredths) => hundredths > 0)
--- a/src/pace/createPace.ts
+++ b/src/pace/createPace.ts
@@ -14,8 +14,13 @@
 const DOUBLING_MS = 500;
 /** Answers that take more than this multiple of the usual are slow. */
 const SLOW_MULTIPLE = 2;
-const SLOW_FACTOR = 0.75;
-const REJECTION_FACTOR = 0.5;
+/** As many slow answers in a row show that an upstream slows down; further ones only hold the pace. */
+const SLOW_ANSWERS = 2;
+/** More waiting requests than this part of the slots show that the pace is too high. */
+const MAX_WAITING_PART = 1 / 4;
+/** Part of the slots by which the pace rises in `DOUBLING_MS` after a fall. */
+const RISE_PART = 1 / 8;
+const FACTORS = { slow: 0.75, waiting: 0.75, rejected: 0.5 };
 /** Answers to requests from before a fall arrive for about this time, and say nothing about the new pace. */
 const FALL_INTERVAL_MS = 500;
 /** An upstream that gets no requests meanwhile keeps its pace no longer than this. */
@@ -27,8 +32,9 @@
   cause: PaceCause;
   slots: number;
   limit: number;
-  /** Whether nothing has made the pace fall; it then doubles, otherwise it rises by one at a time. */
+  /** Whether nothing has made the pace fall; it then doubles, otherwise it rises evenly. */
   isFirstRise: boolean;
+  slowInRow: number;
   beganAt: number;
   windowAt: number;
   windowLimit: number;
@@ -37,14 +43,14 @@
 
 interface PaceHost {
   setPacedCount(count: number): void;
-  countFall(reason: 'slow' | 'rejected'): void;
+  countFall(reason: keyof typeof FACTORS): void;
   log: Log;
 }
 
 /**
  * Decides how many requests all VMs together may have in flight at an upstream that has just started or
- * recovered: few at first, twice as many in each half second while it answers in time, and half as many
- * as soon as it rejects one. Every VM decides for itself, from its own answers and those that the others
+ * recovered: few at first, twice as many in each half second while it answers in time, and fewer as soon
+ * as it rejects one, lets many wait or slows down. Every VM decides for itself, from its own answers and those that the others
  * report. An upstream without a pace costs one look-up for each answer.
  */
 export default function createPace(host: PaceHost) {
@@ -74,6 +80,7 @@
       slots,
       limit,
       isFirstRise: true,
+      slowInRow: 0,
       beganAt: now,
       windowAt: now,
       windowLimit: limit,
@@ -98,23 +105,34 @@
     if (!paced) {
       return;
     }
-    if (multiple > SLOW_MULTIPLE) {
-      fall(now, id, paced, 'slow');
+    paced.slowInRow = multiple > SLOW_MULTIPLE ? paced.slowInRow + 1 : 0;
+    if (paced.slowInRow > 0) {
+      if (paced.slowInRow === SLOW_ANSWERS) {
+        fall(now, id, paced, 'slow');
+      }
       return;
     }
     if (now - paced.windowAt >= DOUBLING_MS) {
       paced.windowAt = now;
       paced.windowLimit = paced.limit;
     }
-    paced.limit = paced.isFirstRise
-      ? Math.min(paced.limit + 1, paced.windowLimit * 2)
-      : Math.min(paced.limit + 1 / paced.limit, paced.windowLimit + 1);
+    const rise = paced.isFirstRise ? paced.windowLimit : Math.max(1, paced.slots * RISE_PART);
+    const step = paced.isFirstRise ? 1 : rise / paced.limit;
+    paced.limit = Math.min(paced.limit + step, paced.windowLimit + rise);
     if (paced.limit >= paced.slots * END_PART) {
       remove(id);
       logPaced(now, 'ended', id, 0, now - paced.beganAt);
     }
   }
 
+  /** Records how many requests an upstream states to wait there. */
+  function recordWaiting(now: number, id: string, waiting: number): void {
+    const paced = tryGet(now, id);
+    if (paced && waiting > paced.slots * MAX_WAITING_PART) {
+      fall(now, id, paced, 'waiting');
+    }
+  }
+
   /** Records that an upstream rejected a request, or did not answer it in time. */
   function recordRejection(now: number, id: string): void {
     const paced = tryGet(now, id);
@@ -123,13 +141,12 @@
     }
   }
 
-  function fall(now: number, id: string, paced: Paced, reason: 'slow' | 'rejected'): void {
+  function fall(now: number, id: string, paced: Paced, reason: keyof typeof FACTORS): void {
     if (now - paced.fellAt < FALL_INTERVAL_MS) {
       return;
     }
-    const factor = reason === 'slow' ? SLOW_FACTOR : REJECTION_FACTOR;
     Object.assign(paced, {
-      limit: Math.max(MIN_PACE, paced.limit * factor),
+      limit: Math.max(MIN_PACE, paced.limit * FACTORS[reason]),
       isFirstRise: false,
       fellAt: now,
       windowAt: now,
@@ -166,5 +183,5 @@
     }
   }
 
-  return { begin, recordAnswer, recordRejection, getLimit, remove };
+  return { begin, recordAnswer, recordWaiting, recordRejection, getLimit, remove };
 }
--- a/src/pace/createPaceTriggers.ts
+++ b/src/pace/createPaceTriggers.ts
@@ -1,10 +1,14 @@
 import type Upstream from '../upstream/Upstream';
+import type PaceCause from './PaceCause';
 import type createPace from './createPace';
 
-/** Registrations that a VM reads in this time after its start are of upstreams that ran before. */
+/** Time after its start in which a VM that learns of an upstream's load knows nothing of its pace. */
 const NEW_VM_MS = 3000;
 
 interface PaceTriggersHost {
+  /** Returns whether the upstreams of a service state their load; others get no pace. */
+  isStated(service: string): boolean;
+  tryGetUpstream(id: string): Upstream | undefined;
   isServiceReachable(): boolean;
   getUpstreams(): readonly Upstream[];
   getInFlight(now: number, upstream: string): number;
@@ -25,10 +29,28 @@
   /** Records the registration of an upstream, which is repeated while it runs. */
   function observeRegistration(now: number, upstream: Upstream): void {
     const { id, startedAt } = upstream;
-    if (startTimes.get(id) !== startedAt) {
-      startTimes.set(id, startedAt);
-      const cause = now - options.startedAt < NEW_VM_MS ? 'newVm' : 'started';
-      pace.begin(now, upstream, cause, host.getInFlight(now, id));
+    const isNew = startTimes.get(id) !== startedAt;
+    startTimes.set(id, startedAt);
+    if (isNew && now - options.startedAt >= NEW_VM_MS) {
+      begin(now, upstream, 'started');
+    }
+  }
+
+  /** Records that an upstream stated its load, as far as this VM knows for the first time. */
+  function observeFirstStatement(now: number, id: string): void {
+    const upstream = host.tryGetUpstream(id);
+    if (upstream && now - options.startedAt < NEW_VM_MS) {
+      begin(now, upstream, 'newVm');
+    }
+  }
+
+  function observeSuspension(now: number, upstream: Upstream): void {
+    begin(now, upstream, 'suspended');
+  }
+
+  function begin(now: number, upstream: Upstream, cause: PaceCause): void {
+    if (host.isStated(upstream.service)) {
+      pace.begin(now, upstream, cause, host.getInFlight(now, upstream.id));
     }
   }
 
@@ -36,14 +58,16 @@
   function refresh(now: number): void {
     const isReachable = host.isServiceReachable();
     if (isReachable && !wasReachable) {
-      host
-        .getUpstreams()
-        .forEach((upstream) =>
-          pace.begin(now, upstream, 'outage', host.getInFlight(now, upstream.id)),
-        );
+      host.getUpstreams().forEach((upstream) => begin(now, upstream, 'outage'));
     }
     wasReachable = isReachable;
   }
 
-  return { observeRegistration, refresh, remove: (id: string) => startTimes.delete(id) };
+  return {
+    observeRegistration,
+    observeFirstStatement,
+    observeSuspension,
+    refresh,
+    remove: (id: string) => startTimes.delete(id),
+  };
 }
--- a/test/routed/upstreamLoads.test.ts
+++ b/test/routed/upstreamLoads.test.ts
@@ -112,6 +112,7 @@
       return this.own;
     },
     onAnswer: () => {},
+    onStated: () => {},
     onRejection: () => {},
     tryGetUpstream: (id: string) => PEERS.find((peer) => peer.id === id),
   };
