--- a/test/routed/usage.test.ts
+++ b/test/routed/usage.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import createBroadcaster from '../../src/broadcast/createBroadcaster';
+import createUpstreamLoads from '../../src/load/createUpstreamLoads';
 import createUsage from '../../src/usage/createUsage';
 import getUsageSource from '../../src/usage/getUsageSource';
 import createUsagePublisher from '../../src/usage/createUsagePublisher';
@@ -7,6 +8,7 @@
 import type Message from '../../src/mesh/Message';
 
 const DATA_CENTRES = ['x', 'y', 'z'];
+const UPSTREAM = { id: 'u1', startedAt: 1, service: 's' };
 
 describe('usage published between VMs', () => {
   [3, 30, 81].forEach((count) => {
@@ -48,6 +50,20 @@
           .forEach((vm) => expect(vm.receivedStates).to.include('u1'));
       });
 
+      it('tells every VM what one VM learned about an upstream, with its age', () => {
+        // Guards against VMs that know only the few answers that they get themselves.
+        const cluster = createCluster(count);
+        const load = { running: 4, waiting: 1, slots: 6, slowdown: 2 };
+        cluster.vms.at(-1)!.loads.observe(0, UPSTREAM, load);
+        cluster.publishAll(2);
+        cluster.vms.forEach((vm) => {
+          const { inFlight, ageMs } = vm.loads.getStated(cluster.now(), UPSTREAM)!;
+          expect([inFlight, ageMs]).to.deep.equal([5, 500]);
+        });
+        cluster.publishAll(8);
+        expect(cluster.vms[0].loads.getStated(cluster.now(), UPSTREAM)).to.equal(undefined);
+      });
+
       it('drops the counts of a VM that has stopped publishing', () => {
         const cluster = createCluster(count);
         cluster.vms.at(-1)!.usage.beginRequest(0, 'u1', 'a1');
@@ -97,7 +113,14 @@
     const dataCentre = getDataCentre(address);
     const usage = createUsage();
     const receivedStates: string[] = [];
-    const vm = { address, usage, receivedStates, isSilent: false };
+    const loads = createUpstreamLoads({
+      getOwnInFlight: usage.getOwnInFlight,
+      tryGetUpstream: () => UPSTREAM,
+      onAnswer: () => {},
+      onStated: () => {},
+      onRejection: () => {},
+    });
+    const vm = { address, usage, loads, receivedStates, isSilent: false };
     const send = (to: string, message: Message) => {
       sentCount += 1;
       vms.find((other) => other.address === to)!.receive(address, message);
@@ -118,6 +141,7 @@
         now: () => now,
         send,
         broadcaster,
+        takeUpstreamReports: loads.takeReports,
         tryGetOwner: (engine) => (engine === 'u1' ? addresses[1] : undefined),
         getOwnedEngines: (at) =>
           address === addresses[1]
@@ -142,6 +166,7 @@
         usage.receiveInFlightCounts(now, source, message.loads);
         message.engines.forEach(({ engine, busy }) => usage.receiveBusyAdapters(now, engine, busy));
         receivedStates.push(...message.states.map(({ engine }) => engine));
+        loads.receiveReports(now, message.upstreams ?? []);
         publisher.collect(message);
       }
     };
