--- a/scripts/platform/createPlatformTrial.ts
+++ b/scripts/platform/createPlatformTrial.ts
@@ -39,15 +39,13 @@
   /** Second octet of the loopback addresses; distinct values let trials run side by side. */
   network?: number;
   /** Arguments of Node.js for the VMs. */
-  nodeArguments?: string[];
+  nodeArguments?: readonly string[];
   /** Lines of the section `Limits` of the VMs' settings. */
   limits?: string[];
   /** Largest body that the manifest allows (default: 1 MiB). */
   maxBodyBytes?: number;
   /** Bundle of the product that the VMs run; built from this checkout if undefined. */
   bundle?: string;
-  /** Further arguments of Node.js for the VMs. */
-  nodeArguments?: readonly string[];
 }) {
   const network = options.network ?? 60;
 
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -17,6 +17,7 @@
 import type ResponseWriter from '../gateway/ResponseWriter';
 import type Change from '../keyValue/Change';
 import type Manifest from '../manifest/Manifest';
+import createUpstreamLoads from '../load/createUpstreamLoads';
 import createMembers from '../members/createMembers';
 import createCongestionLog from '../mesh/createCongestionLog';
 import type Message from '../mesh/Message';
@@ -31,6 +32,8 @@
 import createUpstreamHealth from '../upstream/createUpstreamHealth';
 import createUpstreams from '../upstream/createUpstreams';
 import createIdentification from '../organisations/createIdentification';
+import createPace from '../pace/createPace';
+import createPaceTriggers from '../pace/createPaceTriggers';
 import createPrefillScheduler from '../prefill/createPrefillScheduler';
 import createPrefillClient from '../prefill/createPrefillClient';
 import createBroadcaster from '../broadcast/createBroadcaster';
@@ -116,6 +119,34 @@
     engines.tryGet(upstream)?.handleUseChange();
   });
   const health = createUpstreamHealth();
+  const pace = createPace({
+    ...host,
+    setPacedCount: (count) => metrics.pacedUpstreams.set(count),
+    countFall: (reason) => metrics.paceFalls.inc({ reason }),
+  });
+  const paceTriggers = createPaceTriggers(
+    {
+      isStated: (service) => loads.isStated(service),
+      isServiceReachable: () => mirror.isServiceReachable(),
+      getUpstreams: () => upstreams.getAll(),
+      tryGetUpstream: (id) => upstreams.tryGet(id),
+      getInFlight: usage.getInFlight,
+    },
+    pace,
+    { startedAt },
+  );
+  const loads = createUpstreamLoads({
+    getOwnInFlight: usage.getOwnInFlight,
+    tryGetUpstream: (id) => upstreams.tryGet(id),
+    onAnswer: pace.recordAnswer,
+    onStated: (now, id, waiting, isFirst) => {
+      pace.recordWaiting(now, id, waiting);
+      if (isFirst) {
+        paceTriggers.observeFirstStatement(now, id);
+      }
+    },
+    onRejection: pace.recordRejection,
+  });
   const engineStates = createEngineStates();
   const prefill = createPrefillScheduler(host.setTimer);
   const versions = new Map<string, number>();
@@ -197,6 +228,7 @@
     getKeyValueRestoredAt: mirror.getRestoredAt,
     onChange: (upstream) => {
       readiness.observeRegistration(host.now(), upstream);
+      paceTriggers.observeRegistration(host.now(), upstream);
       engineStates.applyRegistration(upstream);
       engines.reopenIfRestarted(upstream);
       pendingLoads.resolveServable();
@@ -204,6 +236,9 @@
     onRemoved: (id) => {
       engineStates.remove(id);
       health.remove(id);
+      loads.remove(id);
+      pace.remove(id);
+      paceTriggers.remove(id);
       usage.remove(id);
       rateLimiting.remove(id);
       places.remove(id);
@@ -267,8 +302,11 @@
       getEngineService: (service) => manifest?.services.get(service)?.engine,
       isPartitioned: () => reach.isPartitioned(),
       getRestMs: readiness.getRestMs,
-      observeHead: (upstream, status, headers) =>
-        readiness.observe(host.now(), upstream, host.decodeHead(status, headers)),
+      observeHead: (upstream, status, headers) => {
+        const head = host.decodeHead(status, headers);
+        readiness.observe(host.now(), upstream, head);
+        loads.observe(host.now(), upstream, head.load);
+      },
       getMaxConcurrentLoads: (engine) =>
         getMaxConcurrentLoads(getEngineIds().length, engineStates.getLoadCountElsewhere(engine)),
       announce: (state, requesters) => {
@@ -286,6 +324,7 @@
     {
       ...host,
       tryGetOwner,
+      takeUpstreamReports: loads.takeReports,
       broadcaster,
       getOwnedEngines: (now) => {
         const backlogs = prefill.getBacklogs(engines.getIds());
@@ -305,11 +344,13 @@
       getManifest: () => manifest,
       getVersion,
       getBacklogMs: prefill.getBacklogMs,
+      getPace: pace.getLimit,
       isVersionKnownToAll: (now, upstream) => streamOrigins.isKnownToAll(now, upstream),
     },
     {
       upstreams,
       usage,
+      loads,
       health,
       readiness,
       engineStates,
@@ -404,7 +445,11 @@
       observeReadiness: (now, upstream, head) => {
         readiness.observe(now, upstream, head);
         brittleServices.observe(now, upstream, head);
+        loads.observe(now, upstream, head.load);
       },
+      recordDuration: loads.recordDuration,
+      recordRejection: loads.recordRejection,
+      recordSuspension: paceTriggers.observeSuspension,
       recordByte: (now) => reach.recordByte(now),
       recordDoubt: (now) => reach.recordDoubt(now),
       getService: (name) => manifest?.services.get(name),
@@ -544,6 +589,7 @@
     mirror,
     broadcaster,
     usage,
+    loads,
     prefill,
     usagePublisher,
     engineStates,
@@ -691,6 +737,7 @@
     });
     runPeriodically(host, USAGE_INTERVAL_MS, () => {
       usagePublisher.publish();
+      paceTriggers.refresh(host.now());
       checkCongestion(host.now());
     });
     runPeriodically(host, PERMIT_ISSUER_INTERVAL_MS, () => rateLimiting.refresh(host.now()));
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -97,6 +97,11 @@
     'Requests of an organisation are refused for want of allowance; reported at most once a second.',
   ),
   allowanceHolderElected: e(246, 'info', 'This entry VM holds the accounts of all allowances now.'),
+  upstreamPaced: e(
+    247,
+    'info',
+    'The pace of an upstream that has just started or recovered began, fell or ended; at most one line per second and reason.',
+  ),
   traitBlocked: e(250, 'warn', 'Requests with a trait that crashes upstreams are refused.'),
   traitUnblocked: e(251, 'info', 'Requests with a trait are no longer refused.'),
   blockUnreadable: e(252, 'warn', 'The record of a block could not be decoded.'),
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -118,6 +118,14 @@
       ['reason'],
     ),
     heldBytes: gauge('held_bytes', 'Bytes of bodies and unread responses held for clients.', []),
+    pacedUpstreams: gauge(
+      'paced_upstreams',
+      'Upstreams that have just started or recovered and get requests at a pace.',
+      [],
+    ),
+    paceFalls: counter('upstream_pace_falls_total', 'Falls of the pace of upstreams, by reason.', [
+      'reason',
+    ]),
     inFlight: gauge('requests_in_flight', 'In-flight requests on this VM.', []),
   };
 }
