Share an engine's prefill among organisations

An organisation that has had more than its share of an engine's prefill waits or is refused before the others. Without organisations the order is as before.

--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -27,6 +27,7 @@
 import createUpstreamHealth from '../upstream/createUpstreamHealth';
 import createUpstreams from '../upstream/createUpstreams';
 import createIdentification from '../organisations/createIdentification';
+import createShareWeights from '../organisations/createShareWeights';
 import createPrefillScheduler from '../prefill/createPrefillScheduler';
 import createPrefillClient from '../prefill/createPrefillClient';
 import createBroadcaster from '../broadcast/createBroadcaster';
@@ -93,7 +94,10 @@
   });
   const health = createUpstreamHealth();
   const engineStates = createEngineStates();
-  const prefill = createPrefillScheduler(host.setTimer);
+  const getShareWeight = createShareWeights();
+  const prefill = createPrefillScheduler(host.setTimer, (organisation) =>
+    getShareWeight(manifest?.organisations, organisation),
+  );
   const versions = new Map<string, number>();
   let manifest: Manifest | undefined;
   let resumableServices: ReadonlySet<string> = new Set();
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -325,7 +325,11 @@
     Object.assign(request, { abort: () => parts.prefillClient.cancel(request.callerRequest.id) });
     const { model = '', adapter } = request.callerRequest;
     const key = getAdapterKey(model, adapter);
-    const prefillRequest = { id, key, tokens, urgency, onTimeMs: Math.round(onTimeMs), pauseMs };
+    const organisation = request.organisation && { organisation: request.organisation.name };
+    const prefillRequest = {
+      ...{ id, key, tokens, urgency, onTimeMs: Math.round(onTimeMs), pauseMs },
+      ...organisation,
+    };
     const permission = await parts.prefillClient.request(
       engine,
       prefillRequest,
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -224,6 +224,8 @@
     id: z.string(),
     /** Adapter that the request uses, so that the owner does not unload it. */
     key: z.string().optional(),
+    /** Name of the organisation; undefined if callers need no key. */
+    organisation: z.string().optional(),
     tokens: z.number(),
     urgency: z.number(),
     onTimeMs: z.number(),
--- a/src/prefill/PrefillRequest.ts
+++ b/src/prefill/PrefillRequest.ts
@@ -3,6 +3,8 @@
   id: string;
   /** Adapter or model that the request uses; see `getAdapterKey`. */
   key?: string;
+  /** Name of the organisation; undefined if callers need no key. */
+  organisation?: string;
   /** Number of tokens of the prompt. */
   tokens: number;
   /** 0 is the most urgent. */
--- a/src/prefill/createPrefillQueue.ts
+++ b/src/prefill/createPrefillQueue.ts
@@ -1,3 +1,4 @@
+import createFairShares from '../organisations/createFairShares';
 import getPrefillMs from './getPrefillMs';
 import type PrefillRequest from './PrefillRequest';
 import type PrefillState from './PrefillState';
@@ -31,12 +32,14 @@
 
 /**
  * Spreads the prefill of prompts on one engine over time. Requests are granted one after the other,
- * urgent ones first, at a limited rate. Designed for bursts of prompts, whose prefill pauses all
+ * urgent ones first, at a limited rate; organisations share it by their weights. Designed for bursts of prompts, whose prefill pauses all
  * streams of an engine.
  */
 export default function createPrefillQueue(
   schedule: (delayMs: number, callback: () => void) => void,
+  getWeight: (organisation: string) => number = () => 1,
 ) {
+  const fairShares = createFairShares(getWeight);
   let prefillFraction = 1;
   let maxGrantedMs = Infinity;
   const granted = new Map<string, { prefillMs: number; since: number }>();
@@ -59,6 +62,8 @@
     maxGrantedMs = Math.min(maxGrantedMs, prefillRequest.pauseMs * MAX_GRANTED_FRACTION);
     const next = { ...prefillRequest, since: now, expiresAt: now + waitMs, onGranted };
     removeExpired(now);
+    fairShares.advance(now, prefillFraction);
+    fairShares.observe(now, prefillRequest.organisation);
     if (getWaitMs(now, next) > waitMs) {
       return 'refused';
     }
@@ -69,9 +74,7 @@
 
   /** Returns the time in milliseconds until the prompts ahead of a request have been prefilled. */
   function getWaitMs(now: number, next: QueuedRequest): number {
-    const aheadMs = queue
-      .filter((other) => comparePriority(now, other, next) <= 0)
-      .reduce((sum, other) => sum + getPrefillMs(other.tokens), 0);
+    const aheadMs = getAhead(now, next).reduce((sum, other) => sum + getWork(other), 0);
     const availableMs = Math.min(
       MAX_CREDIT_MS,
       creditMs + (now - creditUpdatedAt) * prefillFraction,
@@ -82,6 +85,14 @@
     );
   }
 
+  function getAhead(now: number, next: QueuedRequest): QueuedRequest[] {
+    if ([...queue, next].every(({ organisation }) => organisation === next.organisation)) {
+      return queue.filter((other) => comparePriority(now, other, next) <= 0);
+    }
+    const sorted = sort(now, [...queue, next]);
+    return sorted.slice(0, sorted.indexOf(next));
+  }
+
   /** Removes a request whose prompt has been prefilled, or that has ended before. */
   function finish(now: number, id: string): void {
     granted.delete(id);
@@ -92,11 +103,14 @@
   /** Grants queued requests as far as the credit and the unfinished prefills allow. */
   function grant(now: number): void {
     removeExpired(now);
-    queue.sort((left, right) => comparePriority(now, left, right));
+    fairShares.advance(now, prefillFraction);
+    queue = sort(now, queue);
     creditMs = Math.min(MAX_CREDIT_MS, creditMs + (now - creditUpdatedAt) * prefillFraction);
     creditUpdatedAt = now;
     while (queue.length > 0 && creditMs > 0 && canGrant(queue[0])) {
-      const next = queue.shift()!;
+      const next = queue[0];
+      fairShares.record(next, getWork(next));
+      queue.shift();
       creditMs -= getPrefillMs(next.tokens);
       granted.set(next.id, { prefillMs: getPrefillMs(next.tokens), since: now });
       next.onGranted();
@@ -109,6 +123,11 @@
     }
   }
 
+  /** Returns requests in the order in which they are granted if no others arrive. */
+  function sort(now: number, requests: readonly QueuedRequest[]): QueuedRequest[] {
+    return fairShares.sort(requests, (left, right) => comparePriority(now, left, right), getWork);
+  }
+
   function removeExpired(now: number): void {
     granted.forEach((prefill, id) => {
       if (now - prefill.since > PREFILL_TIMEOUT_MS) {
@@ -160,6 +179,10 @@
   );
 }
 
+function getWork({ tokens }: PrefillRequest): number {
+  return getPrefillMs(tokens);
+}
+
 function getStartBy({ since, onTimeMs, urgency }: QueuedRequest): number {
   return since + onTimeMs + urgency * URGENCY_STEP_MS;
 }
--- a/src/prefill/createPrefillScheduler.ts
+++ b/src/prefill/createPrefillScheduler.ts
@@ -8,6 +8,7 @@
  */
 export default function createPrefillScheduler(
   schedule: (delayMs: number, callback: () => void) => void,
+  getWeight?: (organisation: string) => number,
 ) {
   const queues = new Map<string, ReturnType<typeof createPrefillQueue>>();
   const backlogs = new Map<string, number>();
@@ -19,7 +20,7 @@
     waitMs: number,
     onGranted: () => void,
   ): PrefillState {
-    const queue = queues.get(engine) ?? createPrefillQueue(schedule);
+    const queue = queues.get(engine) ?? createPrefillQueue(schedule, getWeight);
     queues.set(engine, queue);
     return queue.request(now, prefillRequest, waitMs, onGranted);
   }
