--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -34,6 +34,7 @@
 import createIdentification from '../organisations/createIdentification';
 import createPace from '../pace/createPace';
 import createPaceTriggers from '../pace/createPaceTriggers';
+import createShareWeights from '../organisations/createShareWeights';
 import createPrefillScheduler from '../prefill/createPrefillScheduler';
 import createPrefillClient from '../prefill/createPrefillClient';
 import createBroadcaster from '../broadcast/createBroadcaster';
@@ -148,7 +149,10 @@
     onRejection: pace.recordRejection,
   });
   const engineStates = createEngineStates();
-  const prefill = createPrefillScheduler(host.setTimer);
+  const getShareWeight = createShareWeights();
+  const prefill = createPrefillScheduler(host.setTimer, (organisation) =>
+    getShareWeight(manifest?.organisations, organisation),
+  );
   const versions = new Map<string, number>();
   let manifest: Manifest | undefined;
   let isAllowanceNeeded = false;
