--- a/src/clientLimits/createServerGuard.ts
+++ b/src/clientLimits/createServerGuard.ts
@@ -1,5 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Server as HttpsServer } from 'node:https';
 import type { Socket } from 'node:net';
+import { Server as TlsServer } from 'node:tls';
 import type Clock from '../shared/Clock';
 import type createHeldBytes from './createHeldBytes';
 import createSocketPauser from './createSocketPauser';
@@ -7,7 +9,7 @@
 
 const PAUSE_REASON = 'pipelining';
 /** Requests of one connection that are served at the same time; further ones wait. */
-const MAX_RUNNING = 4;
+const MAX_RUNNING = 2;
 /** Requests of one connection; a client that pipelines more is disconnected. */
 const MAX_OPEN = 64;
 /** No further request of a connection starts while this much of its responses is unread. */
@@ -194,8 +196,8 @@
   return {
     listener,
     /** Starts to bound the connections of the server. */
-    attach: (server: Server) => {
-      server.on('connection', accept);
+    attach: (server: Server | HttpsServer) => {
+      server.on(server instanceof TlsServer ? 'secureConnection' : 'connection', accept);
       server.once('close', () => cancelSweep());
     },
     /** Records at once that bytes were written to a response. */
--- a/src/clientLimits/getClientLimits.ts
+++ b/src/clientLimits/getClientLimits.ts
@@ -1,6 +1,6 @@
 const MB = 1024 * 1024;
 /** The heap, the runtime and garbage that is not yet collected take most of a VM's memory. */
-const HELD_SHARE = 0.15;
+const HELD_SHARE = 0.12;
 /** Room for a few bodies of the largest size, 4 MiB each. */
 const MIN_HELD_BYTES = 12 * MB;
 const DEFAULT_HELD_BYTES = 64 * MB;
--- a/src/entry/RoutedEntryHost.ts
+++ b/src/entry/RoutedEntryHost.ts
@@ -1,3 +1,4 @@
+import type createHeldBytes from '../clientLimits/createHeldBytes';
 import type EngineControl from '../engines/EngineControl';
 import type Log from '../events/Log';
 import type ResponseHead from '../gateway/ResponseHead';
@@ -15,6 +16,8 @@
 
 /** I/O of an entry VM that routes by a manifest. */
 interface RoutedEntryHost extends Clock {
+  /** The account of held bytes, if responses that are buffered count in it. */
+  held?: ReturnType<typeof createHeldBytes>;
   keyValue: ChangeFeed &
     Pick<KeyValue, 'transact' | 'grantLease' | 'keepLeaseAlive' | 'revokeLease'>;
   engines: EngineControl;
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -1,3 +1,4 @@
+import type createHeldBytes from '../clientLimits/createHeldBytes';
 import getAdapterKey from '../engines/getAdapterKey';
 import type Log from '../events/Log';
 import type Service from '../manifest/Service';
@@ -44,6 +45,7 @@
 const MIN_BEGUN_MS = 250;
 
 interface AttemptsHost extends Clock {
+  held?: Pick<ReturnType<typeof createHeldBytes>, 'add'>;
   connections: Pick<ReturnType<typeof createConnections>, 'send'>;
   encodeRequest(
     callerRequest: CallerRequest,
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -1,3 +1,4 @@
+import type createHeldBytes from '../clientLimits/createHeldBytes';
 import type Clock from '../shared/Clock';
 import getResponseFraming from '../upstream/getResponseFraming';
 import type ResponseHandler from '../upstream/ResponseHandler';
@@ -19,6 +20,8 @@
 const MAX_BUFFERED_BYTES = 1024 * 1024;
 
 interface AttemptHost extends Clock {
+  /** The account of held bytes; undefined if responses are buffered without a common limit. */
+  held?: Pick<ReturnType<typeof createHeldBytes>, 'add'>;
   /** Sends the request; returns undefined if no connection is available. */
   send(
     deadlineMs: number,
@@ -51,6 +54,7 @@
     let isEnded = false;
     let hasBegun = false;
     let cancelSilence = () => {};
+    let heldEntry: ReturnType<ReturnType<typeof createHeldBytes>['add']> | undefined;
 
     const end = (outcome: AttemptOutcome) => {
       if (isEnded) {
@@ -60,6 +64,7 @@
       Object.assign(request, { partialEventBytes: splitter?.getRemainder().length ?? 0 });
       cancelSilence();
       cancelDeadline();
+      heldEntry?.release(host.now());
       Object.assign(request, { abort: () => {}, giveUp: () => {} });
       resolve(outcome);
     };
@@ -115,6 +120,14 @@
       bodyChunks.push(chunk);
       bodyBytes += chunk.length;
       if (bodyBytes <= MAX_BUFFERED_BYTES) {
+        heldEntry ??= host.held?.add(host.now(), 'reading', {
+          maxBytes: MAX_BUFFERED_BYTES,
+          getProgress: () => bodyBytes,
+          pause: () => controls?.pause(),
+          resume: () => controls?.resume(),
+          close: (reason) => abortWith({ kind: 'lost', reason: `memory is short: ${reason}` }),
+        });
+        heldEntry?.setBytes(host.now(), bodyBytes);
         return;
       }
       if (!isSuccess(responseHead.status) || request.isHeadWritten) {
@@ -125,6 +138,7 @@
       writeHead(responseHead);
       bodyChunks.forEach(forward);
       bodyChunks = [];
+      heldEntry?.release(host.now());
     };
     const finishResponse = (responseHead: ResponseHead): AttemptOutcome => {
       if (isStreaming) {
