--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -4,6 +4,13 @@
 import { createServer as createHttpsServer } from 'node:https';
 import { getRequestListener } from '@hono/node-server';
 import type { HttpBindings } from '@hono/node-server';
+import createHeldBytes from '../clientLimits/createHeldBytes';
+import createLimitLog from '../clientLimits/createLimitLog';
+import createMemoryWatch from '../clientLimits/createMemoryWatch';
+import createReadTurns from '../clientLimits/createReadTurns';
+import createServerGuard from '../clientLimits/createServerGuard';
+import getClientLimits from '../clientLimits/getClientLimits';
+import getCollector from '../clientLimits/getCollector';
 import createEntry from '../entry/createEntry';
 import createLog from '../events/createLog';
 import createMesh from '../mesh/createMesh';
@@ -29,6 +36,15 @@
   process.on('uncaughtException', (error) => log('unexpected', { error: error.stack }));
   process.on('unhandledRejection', (error) => log('unexpected', { error: String(error) }));
 
+  const clock = {
+    now: () => performance.now(),
+    setTimer: (delayMs: number, callback: () => void) => {
+      const timer = setTimeout(callback, delayMs);
+      return () => clearTimeout(timer);
+    },
+  };
+  const limits = getClientLimits(settings);
+  const held = createHeldBytes({ limitBytes: limits.heldBytes });
   const mesh = createMesh(
     {
       onMessage: (from, message) => entry.receive(from, message),
@@ -47,15 +63,14 @@
       clusterKey: settings.clusterKey,
       listenHost: settings.listenHost,
       listenPort: settings.meshPort,
+      maxHandshakes: limits.meshHandshakes,
+      maxQueuedBytes: limits.heldBytes,
     },
   );
   const entry = createEntry(
     {
-      now: () => performance.now(),
-      setTimer: (delayMs, callback) => {
-        const timer = setTimeout(callback, delayMs);
-        return () => clearTimeout(timer);
-      },
+      ...clock,
+      bodyAccount: { held, turns: createReadTurns(clock) },
       keyValue: createEtcdKeyValue({
         url: settings.platformUrl,
         callTimeoutMs: CALL_TIMEOUT_MS,
@@ -85,9 +100,15 @@
     },
   );
 
-  const listener = getRequestListener((request, bindings) =>
-    entry.fetch(request, { incoming: (bindings as HttpBindings).incoming }),
+  const recordLimit = createLimitLog({ ...clock, ...entry, ...held, log });
+  const guard = createServerGuard(
+    { ...clock, held, onLimited: (reason) => recordLimit(reason, 'callers') },
+    { maxConnections: limits.callerConnections },
+    getRequestListener((request, bindings) =>
+      entry.fetch(request, { incoming: (bindings as HttpBindings).incoming }),
+    ),
   );
+  const { listener } = guard;
   const server =
     settings.tlsCert !== undefined && settings.tlsKey !== undefined
       ? createHttpsServer(
@@ -95,6 +116,19 @@
           listener,
         )
       : createHttpServer(listener);
+  guard.attach(server);
+  if (settings.ramMb !== undefined) {
+    createMemoryWatch(
+      {
+        ...clock,
+        ...held,
+        getResidentBytes: process.memoryUsage.rss,
+        getBufferBytes: () => process.memoryUsage().arrayBuffers,
+        collect: getCollector(),
+      },
+      { ramMb: settings.ramMb },
+    ).run();
+  }
   server.headersTimeout = HEADERS_TIMEOUT_MS;
   await mesh.listen();
   await new Promise<void>((resolve, reject) => {
--- a/src/entry/EntryHost.ts
+++ b/src/entry/EntryHost.ts
@@ -2,6 +2,7 @@
 import type Message from '../mesh/Message';
 import type KeyValue from '../keyValue/KeyValue';
 import type VirtualMachine from '../vmList/VirtualMachine';
+import type BodyAccount from '../requests/BodyAccount';
 import type Clock from '../shared/Clock';
 import type EngineClient from '../upstream/EngineClient';
 import type ServiceClient from '../upstream/ServiceClient';
@@ -11,6 +12,8 @@
  * entry VMs, time and random values.
  */
 interface EntryHost extends Clock {
+  /** Where bodies count; undefined if they are read without a common limit. */
+  bodyAccount?: BodyAccount;
   keyValue: KeyValue;
   /** Returns the platform's list of VMs, or undefined if it is unavailable. */
   tryGetVmList(): Promise<VirtualMachine[] | undefined>;
--- a/src/http/createApp.ts
+++ b/src/http/createApp.ts
@@ -54,11 +54,12 @@
   const authenticateOperator = createAuthenticateFilter(tryAuthenticate, ['operator']);
   const authenticateAny = createAuthenticateFilter(tryAuthenticate, ['caller', 'operator']);
   const bodyLimits = { maxBytes: options.maxBodyBytes, timeoutMs: options.bodyTimeoutMs };
-  const readBody = createBodyFilter(host, bodyLimits);
-  const readLargeBody = createBodyFilter(host, {
-    ...bodyLimits,
-    maxBytes: options.maxBodyBytes * OPERATOR_BODY_FACTOR,
-  });
+  const readBody = createBodyFilter(host, bodyLimits, host.bodyAccount);
+  const readLargeBody = createBodyFilter(
+    host,
+    { ...bodyLimits, maxBytes: options.maxBodyBytes * OPERATOR_BODY_FACTOR },
+    host.bodyAccount,
+  );
   const requireTrustedTable = createTrustFilter(() => tableController.isTrusted(host.now()));
 
   app.use(async (context, next) => {
--- a/src/settings/Settings.ts
+++ b/src/settings/Settings.ts
@@ -73,6 +73,8 @@
   bodyTimeoutMs: milliseconds.default(10_000).describe('maximum time to receive a request body'),
   handedOutMs: milliseconds.default(5000).describe('how long a response of /v1/where stays valid'),
   stopDeadlineMs: milliseconds.default(120_000).describe('maximum duration of a graceful stop'),
+  ramMb: z.coerce.number().positive().optional().describe('memory of the machine in MB'),
+  maxFds: z.coerce.number().int().positive().optional().describe('file descriptors of the process'),
   logLevel: z
     .enum(['debug', 'info', 'warn', 'error'])
     .default('info')
