Connections to all upstreams together are bounded by the descriptors

Requests that clients pipeline opened a connection each, whose responses were buffered at the same time: 48 clients with 20 pipelined requests of 0.9 MB took 202 to 224 MB of 190. A request without a connection is refused with 503 and has not run, as with the bound for each upstream.

--- a/src/upstream/createConnections.ts
+++ b/src/upstream/createConnections.ts
@@ -52,10 +52,18 @@
 
 /**
  * Manages connections to upstreams. Each carries one request at a time, and the most recently used
- * idle one is reused first. `send` returns undefined if all allowed connections are in use.
+ * idle one is reused first. `send` returns undefined if all allowed connections are in use, to one
+ * upstream or to all together.
  */
-export default function createConnections(onOpened: () => void) {
+export default function createConnections(
+  onOpened: () => void,
+  limits: { maxConnections: number; onLimited(): void } = {
+    maxConnections: Infinity,
+    onLimited: () => {},
+  },
+) {
   const groups = new Map<string, ConnectionGroup>();
+  let openCount = 0;
 
   function send(
     address: string,
@@ -83,6 +91,10 @@
     if (group.openCount >= maxConnections) {
       return undefined;
     }
+    if (openCount >= limits.maxConnections && !tryCloseIdle()) {
+      limits.onLimited();
+      return undefined;
+    }
     const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     const client = new Client(`http://${address}`, {
       pipelining: 1,
@@ -113,11 +125,24 @@
       overheadEndsBefore: Infinity,
     };
     group.openCount += 1;
+    openCount += 1;
     onOpened();
     client.on('disconnect', () => dropConnection(connection, group));
     return connection;
   }
 
+  /** Closes an idle connection to another upstream; returns false if there is none. */
+  function tryCloseIdle(): boolean {
+    for (const group of groups.values()) {
+      const [connection] = group.idle;
+      if (connection) {
+        dropConnection(connection, group);
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Destroys a connection and removes it from its group. */
   function dropConnection(connection: Connection, group: ConnectionGroup): void {
     const { client } = connection;
@@ -129,6 +154,7 @@
       group.idle.splice(idle, 1);
     }
     group.openCount -= 1;
+    openCount -= 1;
     client.destroy();
   }
 
