Ask only the sources of one kind of obstacle for that kind

Cause: for each request, and for each load that requests wait for, seven sources were asked about each upstream to find out whether it leaves, rests or is unreachable (2.0 to 2.1 % of the processor time with requests, by profile of 30 and 58 VMs), and their number was multiplied by the number of upstreams. Change: a source states the kind of obstacle that it returns; a source without one is asked as before.

--- a/src/readiness/createReadiness.ts
+++ b/src/readiness/createReadiness.ts
@@ -7,6 +7,8 @@
 import type Upstream from '../upstream/Upstream';
 import type UpstreamHealth from '../upstream/UpstreamHealth';
 import type Upstreams from '../upstream/Upstreams';
+import type Obstacle from './Obstacle';
+import type ReadinessSource from './ReadinessSource';
 import createDepartures from './createDepartures';
 import createObstacles from './createObstacles';
 import createRests from './createRests';
@@ -44,16 +46,21 @@
     countDeparture: () => host.countNotice('leaving'),
   });
   const obstacles = createObstacles([
-    departures.tryGetObstacle,
-    (_, { id }) => (parts.upstreams.tryGet(id) ? undefined : { kind: 'leaving', isBinding: true }),
-    rests.tryGetObstacle,
-    parts.places.tryGetObstacle,
-    (now, upstream) =>
+    createSource('leaving', departures.tryGetObstacle),
+    createSource('leaving', (_, { id }) =>
+      parts.upstreams.tryGet(id) ? undefined : { kind: 'leaving', isBinding: true },
+    ),
+    createSource('resting', rests.tryGetObstacle),
+    createSource('full', parts.places.tryGetObstacle),
+    createSource('limited', (now, upstream) =>
       parts.rateLimiting.isClosed(now, upstream) ? { kind: 'limited', isBinding: true } : undefined,
-    (now, { id }) =>
+    ),
+    createSource('suspended', (now, { id }) =>
       parts.health.isSuspended(now, id) ? { kind: 'suspended', isBinding: false } : undefined,
-    (_, { id }) =>
+    ),
+    createSource('unreachable', (_, { id }) =>
       parts.engineStates.isUnreachable(id) ? { kind: 'unreachable', isBinding: false } : undefined,
+    ),
   ]);
 
   return {
@@ -71,3 +78,13 @@
     getRestMs: rests.getEndsInMs,
   };
 }
+
+/** Returns a source that is asked for one kind of obstacle only. */
+function createSource(
+  onlyKind: Obstacle['kind'],
+  tryGetObstacle: (now: number, upstream: Upstream) => Obstacle | undefined,
+): ReadinessSource {
+  return Object.assign((now: number, upstream: Upstream) => tryGetObstacle(now, upstream), {
+    onlyKind,
+  });
+}
