--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -208,7 +208,10 @@
         }
       },
       onError: (error) => {
-        if (error.kind === 'lost' && isStreaming && request.isHeadWritten) {
+        if (head?.isNotRun && !isEnded && !isStreaming) {
+          // The head is enough: the upstream has not run the request, whatever ends the connection.
+          end(finishResponse(head));
+        } else if (error.kind === 'lost' && isStreaming && request.isHeadWritten) {
           end({ kind: 'broken', reason: error.reason });
         } else {
           end(error);
--- a/test/routed/UpstreamBehavior.ts
+++ b/test/routed/UpstreamBehavior.ts
@@ -3,6 +3,7 @@
   | { kind: 'response'; status: number; body: string; contentType?: string }
   | { kind: 'notRun'; status: number }
   | { kind: 'refusalWithoutId'; isReused: boolean }
+  | { kind: 'brokenRejection' }
   | { kind: 'refuseConnection' }
   | { kind: 'reset' }
   | { kind: 'otherResponse' }
--- a/test/routed/createTestRequest.ts
+++ b/test/routed/createTestRequest.ts
@@ -127,6 +127,11 @@
         handler.onData(Buffer.from(behavior.kind === 'response' ? behavior.body : ''));
         handler.onEnd();
         break;
+      case 'brokenRejection':
+        handler.onHead(503, { id: 'q1', ran: 'no' });
+        handler.onData(Buffer.from('fu'));
+        handler.onError({ kind: 'lost', reason: 'ECONNRESET' });
+        break;
       case 'refuseConnection':
         handler.onError({ kind: 'notSent', reason: 'ECONNREFUSED' });
         break;
--- a/test/routed/serve.test.ts
+++ b/test/routed/serve.test.ts
@@ -24,6 +24,31 @@
     expect(fixture.response.body).to.equal('ok');
   });
 
+  // Guards against 502 for a request that one upstream rejected as it ended, and that no other ran.
+  it('tries a request elsewhere if the connection of its rejection is reset', async () => {
+    const fixture = createTestRequest({ kind: 'nonIdempotent', attempts: 1 }, [
+      { kind: 'brokenRejection' },
+      { kind: 'refuseConnection' },
+      createResponse(200),
+    ]);
+    await fixture.run();
+    expect(fixture.response.status).to.equal(200);
+  });
+
+  it('refuses a request as not run after a reset rejection and refused connections', async () => {
+    const refused: UpstreamBehavior = { kind: 'refuseConnection' };
+    const fixture = createTestRequest({ kind: 'nonIdempotent', attempts: 1 }, [
+      { kind: 'brokenRejection' },
+      refused,
+      refused,
+      refused,
+      refused,
+    ]);
+    await fixture.run();
+    expect(fixture.response.status).to.equal(503);
+    expect(Number(fixture.response.headers.get('retry-after'))).to.be.greaterThan(0);
+  });
+
   it('refuses a request with a retry-after if no upstream runs it', async () => {
     const notRun: UpstreamBehavior = { kind: 'notRun', status: 503 };
     const fixture = createTestRequest({ kind: 'nonIdempotent' }, [
