--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -411,6 +411,7 @@
         isIssuer: (now, service) => slotIssuers.tryGetIssuer(now, service) === address,
         getUpstreams: getReadyUpstreams,
         getExpectedMs: speed.getExpectedMs,
+        getFailureRate: health.getFailureRate,
         recordDuration: speed.record,
         getInFlight: usage.getInFlight,
         getDataCentre: (vm) =>
--- a/src/slots/createSlotAccount.ts
+++ b/src/slots/createSlotAccount.ts
@@ -17,11 +17,16 @@
 /** A shorter time to return would find the same queue. */
 const MIN_RETRY_AFTER_MS = 20;
 
+/** Used if no upstream is known to serve requests. */
+const MAX_RETRY_AFTER_MS = 5000;
+
 interface SlotAccountHost {
   /** Returns the ready upstreams of the service. */
   getUpstreams(now: number): readonly Upstream[];
   /** Returns how long a request is expected to take at an upstream. */
   getExpectedMs(now: number, upstream: string): number;
+  /** Returns the failure rate that this VM knows otherwise: upstreams that turn VMs away are announced. */
+  getFailureRate(now: number, upstream: string): number;
   /** Records how long a request took at an upstream. */
   recordDuration(now: number, upstream: string, ms: number): void;
   /** Returns the requests in flight at an upstream, from all VMs; some hundred milliseconds old. */
@@ -121,7 +126,10 @@
   }
 
   function refuse(request: SlotRequest, waitMs: number): SlotDecision {
-    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.round(waitMs));
+    const retryAfterMs = Math.min(
+      MAX_RETRY_AFTER_MS,
+      Math.max(MIN_RETRY_AFTER_MS, Math.round(waitMs)),
+    );
     return { request, kind: 'refused', retryAfterMs };
   }
 
@@ -133,7 +141,8 @@
   /** Returns how many slots become free in a millisecond while all are in use. */
   function getSlotsPerMs(now: number, upstreams: readonly Upstream[]): number {
     return upstreams.reduce(
-      (sum, upstream) => sum + slots.getLimit(now, upstream) / host.getExpectedMs(now, upstream.id),
+      (sum, upstream) =>
+        sum + slots.getCapacity(now, upstream) / host.getExpectedMs(now, upstream.id),
       0,
     );
   }
@@ -167,7 +176,7 @@
     const fastestMs = Math.min(...upstreams.map(({ id }) => host.getExpectedMs(now, id)));
     const getCost = ({ id, dataCentre, slots: count }: Upstream) =>
       (host.getExpectedMs(now, id) / fastestMs) *
-        (1 + FAILURE_COST_FACTOR * health.getFailureRate(now, id)) *
+        (1 + FAILURE_COST_FACTOR * getFailureRate(now, id)) *
         (EMPTY_COST + (1 - EMPTY_COST) * ((slots.getBusy(now, id) + 1) / count)) +
       (dataCentre === request.dataCentre ? 0 : DISTANCE_COST);
     return free
@@ -175,6 +184,10 @@
       .reduce((best, upstream) => (getCost(upstream) < getCost(best) ? upstream : best));
   }
 
+  function getFailureRate(now: number, upstream: string): number {
+    return Math.max(health.getFailureRate(now, upstream), host.getFailureRate(now, upstream));
+  }
+
   /** Ends the use of a slot, or the wait for one. */
   function end(now: number, vm: string, id: number, outcome: SlotOutcome, ms: number): void {
     const upstream = slots.release(now, vm, id, outcome);
--- a/src/slots/createSlotIssuer.ts
+++ b/src/slots/createSlotIssuer.ts
@@ -9,6 +9,8 @@
 
 /** Interval at which waiting requests are examined: leases, pauses and suspensions end by time. */
 const CHECK_MS = 10;
+/** The whole queue is sorted and examined for requests that can't be served less often. */
+const QUEUE_CHECK_MS = 50;
 /** VMs with waiting requests are told again that they wait, so that they know that the issuer lives. */
 const REPEAT_MS = 180;
 /** An issuer that was not refreshed for this long was paused; VMs went on without it. */
@@ -29,6 +31,8 @@
   getUpstreams(now: number, service: string): readonly Upstream[];
   /** Returns how long a request is expected to take at an upstream. */
   getExpectedMs(now: number, upstream: string): number;
+  /** Returns the failure rate of an upstream that this VM knows, from 0 to 1. */
+  getFailureRate(now: number, upstream: string): number;
   recordDuration(now: number, upstream: string, ms: number): void;
   /** Returns the requests in flight at an upstream, from all VMs; some hundred milliseconds old. */
   getInFlight(now: number, upstream: string): number;
@@ -44,6 +48,7 @@
   refreshedAt: number;
   loggedAt: number;
   isChecking: boolean;
+  queueCheckedAt: number;
   /** When the VMs with waiting requests were told last that they wait. */
   toldAt: number;
 }
@@ -67,6 +72,7 @@
       refreshedAt: now,
       loggedAt: -Infinity,
       isChecking: false,
+      queueCheckedAt: now,
       toldAt: now,
     };
     services.set(service, created);
@@ -186,8 +192,12 @@
       if (services.get(name) !== service) {
         return;
       }
-      settle(name, true);
       const now = host.now();
+      const isQueueDue = now - service.queueCheckedAt >= QUEUE_CHECK_MS;
+      if (isQueueDue) {
+        Object.assign(service, { queueCheckedAt: now });
+      }
+      settle(name, isQueueDue);
       const waiting = service.account.getWaiting();
       if (waiting.length === 0) {
         Object.assign(service, { isChecking: false });
--- a/src/slots/createSlotPlacement.ts
+++ b/src/slots/createSlotPlacement.ts
@@ -13,7 +13,7 @@
 import type Slots from './Slots';
 
 /** Slots of a service for each VM below which VMs that choose for themselves collide. */
-const MAX_SLOTS_PER_VM = 2;
+const MAX_SLOTS_PER_VM = 1;
 /** With fewer VMs, their usage reports are enough to choose upstreams. */
 const MIN_VMS = 12;
 const CACHE_MS = 250;
--- a/src/slots/createUpstreamSlots.ts
+++ b/src/slots/createUpstreamSlots.ts
@@ -115,8 +115,15 @@
     }
   }
 
-  /** Returns how many requests an upstream may have in progress: fewer after it has rejected one. */
-  function getLimit(now: number, { id, slots: count }: Upstream): number {
+  /** Returns how many requests an upstream may have in progress now. */
+  function getLimit(now: number, upstream: Upstream): number {
+    const capacity = getCapacity(now, upstream);
+    const slots = all.get(upstream.id);
+    return slots && now < slots.closedUntil ? Math.min(capacity, slots.held.size) : capacity;
+  }
+
+  /** Returns how many requests an upstream serves at a time: fewer after it has rejected one. */
+  function getCapacity(now: number, { id, slots: count }: Upstream): number {
     const slots = all.get(id);
     if (!slots) {
       return count;
@@ -126,7 +133,7 @@
       slots.changedAt += slots.recoveryMs;
     }
     slots.limit = Math.min(slots.limit, count);
-    return now < slots.closedUntil ? Math.min(slots.limit, slots.held.size) : slots.limit;
+    return slots.limit;
   }
 
   function getBusy(now: number, upstream: string): number {
@@ -187,6 +194,7 @@
     hold,
     release,
     getLimit,
+    getCapacity,
     getBusy,
     reconcile,
     releaseAll,
