Allowances: charge further attempts, and check that there is at most one holder

The account is charged for each further attempt of a request, which is not refused. Amounts are whole numbers. The tests play retries, and fail if two VMs hold the accounts.

--- a/src/allowances/createAccount.ts
+++ b/src/allowances/createAccount.ts
@@ -32,6 +32,8 @@
   unspent: number;
   /** What it no longer holds, and did not send. */
   returned: number;
+  /** What it sent without holding it: further attempts of requests. */
+  overdrawn: number;
 }
 
 /**
@@ -97,7 +99,7 @@
     const added = (Math.max(0, now - filledAt) * limit.perSecond) / MS_PER_SECOND;
     filledAt = Math.max(filledAt, now);
     expected = Math.max(0, expected - added);
-    level = Math.max(0, Math.min(level + added, getCapacity(now) - getLent(now)));
+    level = Math.min(level + added, Math.max(0, getCapacity(now) - getLent(now)));
   }
 
   /** Lends to a VM; returns undefined if the request is late. */
@@ -113,7 +115,7 @@
       granted: 0,
       expiresAt: now + LEASE_MS,
     });
-    level += getReturned(now, position, wanted);
+    level += getReturned(now, position, wanted) - wanted.overdrawn;
     fill(now);
     const { vmShare } = getCapacities(limit, getBounds());
     const room = Math.min(level, vmShare - wanted.unspent);
--- a/src/allowances/createAllowances.ts
+++ b/src/allowances/createAllowances.ts
@@ -19,10 +19,13 @@
 const RETRY_AFTER_JITTER_MS = 600;
 /** What was not used for this time is returned. */
 const IDLE_MS = 250;
+/** Pause between messages that no request waits for. */
+const MIN_EXCHANGE_MS = 100;
 /** Requests that one message asks for. */
 const MAX_AMOUNTS = 64;
 /** What was sent is reported after this time if much of the capacity would seem to be lent otherwise. */
 const REPORT_MS = 200;
+const MAX_UNREPORTED_PART = 0.6;
 const MS_PER_SECOND = 1000;
 
 interface AllowancesHost extends Clock {
@@ -242,6 +245,7 @@
       ahead: toAmount(wanted.ahead),
       unspent: toAmount(wanted.unspent),
       returned: toAmount(wanted.returned),
+      overdrawn: toAmount(wanted.overdrawn),
     });
     return lease
       ? { id: wanted.id, isHolder: true, ...lease }
@@ -274,7 +278,7 @@
       if (client.exchange || election.tryGetHolder(now) === undefined) {
         return;
       }
-      const { free, assigned, unreported, validForMs, idleMs, exchangedMs } =
+      const { free, assigned, unreported, overdrawn, validForMs, idleMs, exchangedMs } =
         client.holding.getState(now);
       const isReturn = free > 0 && idleMs >= IDLE_MS;
       const isExtended = assigned > 0 && validForMs < LEASE_MS / 2;
@@ -283,8 +287,9 @@
       const isReport =
         unreported > 0 &&
         exchangedMs >= REPORT_MS &&
-        (perSecond * LEASE_MS) / MS_PER_SECOND > capacity / 2;
-      if (isReturn || isExtended || isReport) {
+        (perSecond * LEASE_MS) / MS_PER_SECOND > capacity * MAX_UNREPORTED_PART;
+      const isDue = exchangedMs >= MIN_EXCHANGE_MS;
+      if (isDue && (isReturn || isExtended || isReport || overdrawn > 0)) {
         ask(now, organisation, client, [], isReturn);
       }
     });
--- a/src/allowances/createHolding.ts
+++ b/src/allowances/createHolding.ts
@@ -34,6 +34,9 @@
   let usedAt = -Infinity;
   /** Amount that was spent since the last request to the holder. */
   let unreported = 0;
+  /** Amount that was sent without a share, and what of it the last request to the holder stated. */
+  let overdrawn = 0;
+  let stated = 0;
 
   function drop(): void {
     free = 0;
@@ -66,7 +69,10 @@
     usedAt = now;
   }
 
-  /** Uses a share, once; returns false if it has been lost. */
+  /**
+   * Uses a share; returns false if it has been lost. The account is charged again for each further
+   * attempt after one that was sent, which is not refused.
+   */
   function trySpend(now: number, share: Share): boolean {
     expire(now);
     if (share.state === 'held') {
@@ -75,6 +81,7 @@
       assigned -= isValid ? share.amount : 0;
       unreported += isValid ? share.amount : 0;
     }
+    overdrawn += share.state === 'sent' ? share.amount : 0;
     return share.state === 'spent' || share.state === 'sent';
   }
 
@@ -107,6 +114,7 @@
     newestId += 1;
     sentAt = now;
     unreported = 0;
+    stated = overdrawn;
     const returned = isReturn ? free : 0;
     free -= returned;
     const soon = (use * Math.exp(-(now - usedAt) / USE_MS) * AHEAD_MS) / USE_MS;
@@ -118,6 +126,7 @@
       ahead: amounts.length > 0 && soon >= largest ? Math.max(0, soon - free) : 0,
       unspent: free + assigned,
       returned,
+      overdrawn: stated,
     };
   }
 
@@ -128,6 +137,7 @@
       return false;
     }
     acknowledged = id;
+    overdrawn -= stated;
     validUntil = sentAt + LEASE_MS;
     free += amount;
     return true;
@@ -150,6 +160,7 @@
         free,
         assigned,
         unreported,
+        overdrawn,
         validForMs: validUntil - now,
         idleMs: now - usedAt,
         exchangedMs: now - sentAt,
--- a/src/allowances/getRequestAmount.ts
+++ b/src/allowances/getRequestAmount.ts
@@ -17,5 +17,5 @@
   }
   const tokens = promptTokens + outputTokens;
   const isStated = promptTokens >= 0 && outputTokens >= 0 && tokens > 0 && tokens <= MAX_TOKENS;
-  return Math.max(1, isStated ? tokens : allowance.defaultTokens);
+  return Math.max(1, Math.ceil(isStated ? tokens : allowance.defaultTokens));
 }
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -390,6 +390,7 @@
     ahead: z.number(),
     unspent: z.number(),
     returned: z.number(),
+    overdrawn: z.number(),
   }),
   /** Reply to `allowanceWanted`; see `src/allowances/LeaseReply.ts`. */
   z.object({
--- a/test/allowances/allowances.test.ts
+++ b/test/allowances/allowances.test.ts
@@ -47,6 +47,7 @@
         lossRate: fc.constantFrom(0, 0.05, 0.3),
         lateRate: fc.constantFrom(0, 0.1),
         overuse: fc.constantFrom(0.5, 2, 6),
+        retryRate: fc.constantFrom(0, 0.05),
       });
       await fc.assert(
         fc.asyncProperty(cases, async ({ seed, allowance, faults, overuse, ...rates }) => {
@@ -62,6 +63,7 @@
           faults.forEach((one) => fleet.schedule(one.at, () => applyFault(fleet, one, allowance)));
           await fleet.advance(30_000);
           expect(fleet.getMostOfBound()).to.be.at.most(1);
+          expect(fleet.getMostHolders()).to.be.at.most(1);
         }),
         { numRuns, seed: 7 },
       );
--- a/test/allowances/createAllowanceFleet.ts
+++ b/test/allowances/createAllowanceFleet.ts
@@ -9,6 +9,7 @@
 
 const REFRESH_MS = 50;
 const LINK_MS = 4;
+const HOLDER_CHECK_MS = 10;
 /** Registrations end this long after a VM is lost to the key-value service. */
 const REGISTRATION_MS = 3000;
 /** A VM is taken for dead by its peers after at most this time. */
@@ -42,7 +43,7 @@
 export default function createAllowanceFleet(
   count: number,
   allowance: Allowance,
-  { seed = 1, lossRate = 0, lateRate = 0, maxHoldMs = 400 } = {},
+  { seed = 1, lossRate = 0, lateRate = 0, maxHoldMs = 400, retryRate = 0 } = {},
 ) {
   const queue = createEventQueue<() => void>();
   const random = createRandom(seed);
@@ -53,6 +54,7 @@
   let now = 0;
   let runCount = 0;
   let grantedCount = 0;
+  let mostHolders = 0;
   let newestLimit = { version: 1, allowance };
   const vms: Vm[] = Array.from({ length: count }, (_, index) => createVm(`vm${index}`));
 
@@ -135,7 +137,10 @@
         other.isAlive && (other.hasStore || now - other.storeLostAt < REGISTRATION_MS);
       vm.registered = vms.filter(isRegistered).map(({ name }) => name);
     }
-    vm.registered = [...new Set([...vm.registered, ...vm.heard, vm.name])];
+    // A VM that has not read its own registration does not know how many there are.
+    if (vm.registered.length > 0) {
+      vm.registered = [...new Set([...vm.registered, ...vm.heard, vm.name])];
+    }
     vm.limit = newestLimit;
   }
 
@@ -187,6 +192,11 @@
             sent.push({ at: now, amount });
           }
           grant.end(toVmTime(), isSent);
+          if (random() < retryRate) {
+            schedule(random() * 300, () =>
+              runOn(vm, () => grant.trySpend(toVmTime()) && sent.push({ at: now, amount })),
+            );
+          }
         }),
       );
     });
@@ -243,6 +253,18 @@
     return most;
   }
 
+  function getHolders(): Vm[] {
+    return vms.filter(
+      (vm) => vm.isAlive && now >= vm.pausedUntil && vm.allowances.isHolder(now + vm.clockOffset),
+    );
+  }
+
+  function checkHolders(): void {
+    mostHolders = Math.max(mostHolders, getHolders().length);
+    schedule(HOLDER_CHECK_MS, checkHolders);
+  }
+  checkHolders();
+
   return {
     vms,
     random,
@@ -256,14 +278,15 @@
     sendRequest,
     advance,
     getMostOfBound,
-    getHolders: () =>
-      vms.filter((vm) => vm.isAlive && vm.allowances.isHolder(now + vm.clockOffset)),
+    getHolders,
+    getMostHolders: () => mostHolders,
     pause: (vm: number, durationMs: number) => {
       vms[vm].pausedUntil = now + durationMs;
     },
     restart: (vm: number, downMs: number) => {
       vms[vm].isAlive = false;
       schedule(downMs, () => {
+        vms[vm].isAlive = false;
         vms[vm] = createVm(vms[vm].name);
       });
     },
