Allowances: a VM that is alone is elected, and tests of the gateway and of whole VMs

A VM was passed over before it had polled if it learned late which VMs there are; with one VM, none was ever elected.

--- a/src/allowances/createHolderElection.ts
+++ b/src/allowances/createHolderElection.ts
@@ -68,7 +68,9 @@
   let round = 0;
   let lastPollAt = -Infinity;
   /** The latest time at which a poll was heard, this VM began to poll, or a VM was passed over. */
-  let progressAt = options.startedAt;
+  let progressAt = -Infinity;
+  /** Whether this VM has known the others at a refresh. */
+  let isReady = false;
   let electedUntil = -Infinity;
   let isElected = false;
 
@@ -120,8 +122,14 @@
       return;
     }
     passedOver.forEach((until, vm) => now >= until && passedOver.delete(vm));
-    if (!isElected && now - progressAt >= getVoteMs()) {
-      passOver(now, choice?.address ?? getPreferred(now));
+    if (!isReady) {
+      isReady = true;
+      progressAt = now;
+    }
+    const expected = choice?.address ?? getPreferred(now);
+    const hadTime = expected !== options.address || lastPollAt >= progressAt;
+    if (!isElected && hadTime && now - progressAt >= getVoteMs()) {
+      passOver(now, expected);
     }
     if (isElected || getPreferred(now) === options.address) {
       poll(now);
--- a/test/allowances/allowances.test.ts
+++ b/test/allowances/allowances.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
+import LEASE_MS from '../../src/allowances/LEASE_MS';
 import getRequestAmount from '../../src/allowances/getRequestAmount';
 import type Allowance from '../../src/manifest/Allowance';
 import createAllowanceFleet from './createAllowanceFleet';
@@ -104,6 +105,49 @@
     expect(fleet.refusals.length).to.be.at.most(fleet.getGrantedCount() / 20);
   });
 
+  it('elects no second holder by VMs that voted in an earlier run, or before a pause', async () => {
+    const offsets = Array.from({ length: 25 }, (_, index) => index * 10);
+    await Promise.all(
+      offsets.map(async (offset) => {
+        const paused = createAllowanceFleet(3, LARGE);
+        await paused.advance(SETTLE_MS + offset);
+        paused.pause(paused.vms.indexOf(paused.getHolders()[0]), 3000);
+        await paused.advance(6000);
+        expect(paused.getMostHolders()).to.equal(1);
+        const restarted = createAllowanceFleet(3, LARGE);
+        await restarted.advance(SETTLE_MS + offset);
+        const holder = restarted.vms.indexOf(restarted.getHolders()[0]);
+        restarted.cut((vm) => vm === holder, true);
+        [0, 1, 2].filter((vm) => vm !== holder).forEach((vm) => restarted.restart(vm, 20));
+        await restarted.advance(6000);
+        expect(restarted.getMostHolders()).to.equal(1);
+      }),
+    );
+  });
+
+  it('lets a VM that is cut off spend what it holds for the time of a lease, and no longer', async () => {
+    const fleet = createAllowanceFleet(8, LARGE);
+    await fleet.advance(SETTLE_MS);
+    const vm = fleet.vms.findIndex((one) => !fleet.getHolders().includes(one));
+    for (let at = 0; at < 6000; at += 10) {
+      fleet.schedule(at, () => fleet.sendRequest(fleet.vms[vm], 300));
+    }
+    await fleet.advance(2000);
+    const { allowances, clockOffset } = fleet.vms[vm];
+    const held = await allowances.acquire(
+      fleet.now() + clockOffset,
+      { name: 'o', allowance: LARGE },
+      10,
+    );
+    const cutAt = fleet.now();
+    fleet.cut((index) => index === vm, false);
+    await fleet.advance(5000);
+    const sentAfter = fleet.sent.filter(({ at }) => at > cutAt).map(({ at }) => at - cutAt);
+    expect(sentAfter.length).to.be.greaterThan(0);
+    expect(Math.max(...sentAfter)).to.be.at.most(LEASE_MS);
+    expect(held.kind === 'granted' && held.trySpend(fleet.now() + clockOffset)).to.equal(false);
+  });
+
   it('asks for nothing where what the VM holds is enough', async () => {
     const fleet = createAllowanceFleet(2, LARGE);
     await fleet.advance(SETTLE_MS);
--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -8,6 +8,7 @@
 import compressFrame from '../../src/mesh/compressFrame';
 import createFrameReader from '../../src/mesh/createFrameReader';
 import encodeFrame from '../../src/mesh/encodeFrame';
+import type Manifest from '../../src/manifest/Manifest';
 import Message from '../../src/mesh/Message';
 import type ResponseHandler from '../../src/upstream/ResponseHandler';
 import type Upstream from '../../src/upstream/Upstream';
@@ -55,6 +56,8 @@
   desks?: number;
   /** Returns whether a request crashes each desk that runs it; by default none does. */
   isCrashing?: (path: string) => boolean;
+  /** Organisations of the manifest, by key; by default, callers need no key. */
+  organisations?: Manifest['organisations'];
   /** Bytes that the outgoing link of a VM carries in a millisecond; unlimited if undefined. */
   linkBytesPerMs?: number;
 }) {
@@ -144,7 +147,15 @@
         probe: async (upstreamAddress) =>
           (await partitions.tryProbe(address)) ??
           (desks.isDown(upstreamAddress) ? 'refused' : 'accepted'),
-        decodeChange,
+        decodeChange: (change) => {
+          const decoded = decodeChange(change);
+          return decoded.kind === 'manifest' && decoded.manifest
+            ? {
+                ...decoded,
+                manifest: { ...decoded.manifest, organisations: options.organisations },
+              }
+            : decoded;
+        },
         encodeRequest: (
           { method, path, adapter = '', promptTokens, outputTokens },
           { upstream, resumeAfter = '0' },
--- a/test/routed/createTestRequest.ts
+++ b/test/routed/createTestRequest.ts
@@ -1,3 +1,4 @@
+import type Grant from '../../src/allowances/Grant';
 import type ResponseHead from '../../src/gateway/ResponseHead';
 import type AttemptOutcome from '../../src/gateway/AttemptOutcome';
 import type ActiveRequest from '../../src/gateway/ActiveRequest';
@@ -17,6 +18,7 @@
   hasRetryBudget = true,
   /** Outcomes of the attempts that other VMs carry; undefined where this VM makes the attempt. */
   carried: (AttemptOutcome | undefined)[] = [],
+  acquireAllowance: (request: ActiveRequest) => Promise<Grant> | undefined = () => undefined,
 ) {
   const clock = createVirtualClock();
   const route: Route = {
@@ -214,7 +216,7 @@
           forwards.push({ vm, attempts });
           return carried[targetCount - 1]!;
         },
-        acquireAllowance: () => undefined,
+        acquireAllowance,
         tryRetry: () => hasRetryBudget,
         countRetry: () => {},
         log: () => {},
