--- a/test/fleet/createTestFleet.ts
+++ b/test/fleet/createTestFleet.ts
@@ -9,6 +9,7 @@
 import compressFrame from '../../src/mesh/compressFrame';
 import createFrameReader from '../../src/mesh/createFrameReader';
 import encodeFrame from '../../src/mesh/encodeFrame';
+import type Manifest from '../../src/manifest/Manifest';
 import Message from '../../src/mesh/Message';
 import type ResponseHandler from '../../src/upstream/ResponseHandler';
 import type Upstream from '../../src/upstream/Upstream';
@@ -56,6 +57,8 @@
   desks?: number;
   /** Returns whether a request crashes each desk that runs it; by default none does. */
   isCrashing?: (path: string) => boolean;
+  /** Organisations of the manifest, by key; by default, callers need no key. */
+  organisations?: Manifest['organisations'];
   /** Bytes that the outgoing link of a VM carries in a millisecond; unlimited if undefined. */
   linkBytesPerMs?: number;
   /** Time without confirmation of the manifest after which requests that need a key are refused. */
@@ -152,7 +155,15 @@
         probe: async (upstreamAddress) =>
           (await partitions.tryProbe(address)) ??
           (desks.isDown(upstreamAddress) ? 'refused' : 'accepted'),
-        decodeChange,
+        decodeChange: (change) => {
+          const decoded = decodeChange(change);
+          return decoded.kind === 'manifest' && decoded.manifest
+            ? {
+                ...decoded,
+                manifest: { ...decoded.manifest, organisations: options.organisations },
+              }
+            : decoded;
+        },
         encodeRequest: (
           { method, path, adapter = '', promptTokens, outputTokens, verified },
           { upstream, resumeAfter = '0' },
