--- a/src/load/createUpstreamLoads.ts
+++ b/src/load/createUpstreamLoads.ts
@@ -22,8 +22,8 @@
 const HUNDREDTHS = 100;
 /** A report of the same statement by way of another VM seems newer by the time on the way. */
 const ECHO_MS = 20;
-/** Durations in a report; a VM rarely gets more answers from one upstream between two reports. */
-const MAX_REPORTED_DURATIONS = 8;
+/** Durations in a report; those of several VMs make up the median of seven. */
+const MAX_REPORTED_DURATIONS = 3;
 
 interface Statement extends StatedLoad {
   at: number;
--- a/src/usage/createUsagePublisher.ts
+++ b/src/usage/createUsagePublisher.ts
@@ -1,4 +1,5 @@
 import type EngineState from '../engines/EngineState';
+import createReportCollector from '../load/createReportCollector';
 import type UpstreamReport from '../load/UpstreamReport';
 import type Message from '../mesh/Message';
 import type createBroadcaster from '../broadcast/createBroadcaster';
@@ -33,8 +34,7 @@
   const { broadcaster } = host;
   const engines = new Map<string, EngineUsage>();
   const states = new Map<string, EngineState>();
-  /** Reports of VMs of this data centre, with the time at which they arrived. */
-  let reports: { at: number; report: UpstreamReport }[] = [];
+  const reports = createReportCollector();
 
   /** Publishes the in-flight requests, and the engine updates collected since the last call. */
   function publish(): void {
@@ -48,11 +48,8 @@
     host
       .getOwnedEngines(now)
       .forEach((engineUsage) => engines.set(engineUsage.engine, engineUsage));
-    const collected = reports.map(({ at, report: [id, startedAt, ageMs, ...rest] }) => {
-      const report: UpstreamReport = [id, startedAt, ageMs + Math.round(now - at), ...rest];
-      return report;
-    });
-    const upstreams = [...(host.takeUpstreamReports?.(now) ?? []), ...collected];
+    reports.add(now, host.takeUpstreamReports?.(now) ?? []);
+    const upstreams = reports.take(now);
     const engineUpdates = {
       engines: [...engines.values()],
       states: [...states.values()],
@@ -60,7 +57,6 @@
     };
     engines.clear();
     states.clear();
-    reports = [];
     const hub = broadcaster.isRelayed() ? broadcaster.getHub(now) : undefined;
     if (hub === options.address) {
       const { dataCentre } = options;
@@ -109,8 +105,7 @@
     if (!broadcaster.isRelayed() || message.dataCentre !== undefined) {
       return;
     }
-    const now = host.now();
-    message.upstreams?.forEach((report) => reports.push({ at: now, report }));
+    reports.add(host.now(), message.upstreams ?? []);
     message.engines.forEach((engineUsage) => engines.set(engineUsage.engine, engineUsage));
     message.states.forEach((state) => {
       const known = states.get(state.engine);
--- a/test/routed/upstreamLoads.test.ts
+++ b/test/routed/upstreamLoads.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
+import createReportCollector from '../../src/load/createReportCollector';
 import createIntervalMeter from '../../src/load/createIntervalMeter';
 import createUpstreamLoads from '../../src/load/createUpstreamLoads';
 
@@ -80,6 +81,18 @@
     expect(listener.getStated(1000, { id: 'unknown', startedAt: 1 })).to.equal(undefined);
   });
 
+  it('merges the reports of a data centre into one for each incarnation', () => {
+    // Guards against messages between data centres that grow with the number of VMs.
+    const collector = createReportCollector();
+    collector.add(0, [['a', 1, 0, 4, 0, 6, 100, [90, 100], 1]]);
+    collector.add(100, [['a', 1, 200, 9, 9, 6, 100, [110, 120, 130, 140, 150, 160], 2]]);
+    collector.add(100, [['a', 0, 0, 9, 9, 6, 100, [], 0]]);
+    expect(collector.take(250)).to.deep.equal([
+      ['a', 1, 250, 4, 0, 6, 100, [100, 110, 120, 130, 140, 150, 160], 3],
+    ]);
+    expect(collector.take(500)).to.deep.equal([]);
+  });
+
   it('keeps every estimate finite and bounded for any statements and durations', () => {
     const figure = fc.oneof(fc.double(), fc.constantFrom(-1, 0, 1e300, NaN, Infinity));
     fc.assert(
