--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -513,6 +513,8 @@
       getUpstreams: getReadyUpstreams,
       tryGetUpstream: upstreams.tryGet,
       isPlaceNeeded: places.isNeeded,
+      isLoadUnstated: loads.isUnstated,
+      isResting: (now, upstream) => readiness.has(now, upstream, 'resting'),
       getVmCount: members.getSharerCount,
       getPlainCandidates: placement.getPlainCandidates,
       place: placement.place,
--- a/src/load/createUpstreamLoads.ts
+++ b/src/load/createUpstreamLoads.ts
@@ -65,6 +65,8 @@
   const unreported = new Map<string, Known>();
   /** Services of which an upstream has stated a load. */
   const statingServices = new Set<string>();
+  /** Services of which an upstream has responded without a load. */
+  const silentServices = new Set<string>();
 
   /** Returns what is known of an incarnation; undefined if a newer one is known. */
   function getKnown({ id, startedAt }: Pick<Incarnation, 'id' | 'startedAt'>): Known | undefined {
@@ -88,6 +90,9 @@
 
   /** Records the load that a response states. */
   function observe(now: number, upstream: Incarnation, load: StatedLoad | undefined): void {
+    if (!load) {
+      silentServices.add(upstream.service);
+    }
     const known = load && getKnown(upstream);
     if (known) {
       statingServices.add(upstream.service);
@@ -286,6 +291,8 @@
     getSpeed,
     /** Returns whether an upstream of a service has stated a load. */
     isStated: (service: string) => statingServices.has(service),
+    /** Returns whether upstreams of a service have responded, and none has stated a load. */
+    isUnstated: (service: string) => silentServices.has(service) && !statingServices.has(service),
     takeReports,
     receiveReports,
     remove: (id: string) => {
--- a/src/slots/createSlotPlacement.ts
+++ b/src/slots/createSlotPlacement.ts
@@ -27,6 +27,10 @@
   tryGetUpstream(id: string): Upstream | undefined;
   /** Returns whether places are taken at an upstream instead. */
   isPlaceNeeded(now: number, upstream: Upstream): boolean;
+  /** Returns whether an upstream wants no requests of this VM for some time, which the issuer can't know. */
+  isResting(now: number, upstream: Upstream): boolean;
+  /** Returns whether the upstreams of a service respond without a load; they are chosen as before. */
+  isLoadUnstated(service: string): boolean;
   /** Returns the number of VMs. */
   getVmCount(now: number): number;
   /** Returns the upstreams at which a request may be sent now. */
@@ -67,7 +71,10 @@
     neededServices.set(service, known);
     return (
       known(now) &&
-      !host.getUpstreams(now, service).some((upstream) => host.isPlaceNeeded(now, upstream))
+      !host.isLoadUnstated(service) &&
+      !host
+        .getUpstreams(now, service)
+        .some((upstream) => host.isPlaceNeeded(now, upstream) || host.isResting(now, upstream))
     );
   }
 
