--- a/review/lib2/createDeployment.mjs
+++ b/review/lib2/createDeployment.mjs
@@ -48,6 +48,8 @@
     const ip = `${network}.5.${index + 1}`;
     return { name: `front-${index + 1}`, ip, zone: ZONES[index % ZONES.length] };
   });
+  // Ends the machines also where the script ends by an error.
+  process.once('exit', () => children.forEach((child) => child.kill('SIGKILL')));
   await listen(store.server, storeAddress, STORE_PORT);
 
   async function writeSettings(vm) {
