Log which run of an engine a command is for, and what its owner knew when it read a report

Needed to tell the hypotheses of LIMIT apart: engineOrdered names the engine's start, the occupied slots and the room that the owner counts on; engineRead names the start that the report states, the count known before, and the slots that the report no longer lists (kept or dropped). No change of logic.

--- a/src/engines/createCommandSender.ts
+++ b/src/engines/createCommandSender.ts
@@ -34,6 +34,8 @@
    */
   isOtherUnanswered(sequence: number): boolean;
   countCommand(kind: string, outcome: string): void;
+  /** Returns what is logged with each command beside its own fields. */
+  describe(): Record<string, number>;
   log: Log;
 }
 
@@ -72,8 +74,9 @@
         fence,
         expected: expectedSequence,
         outcome: result,
-        reason: response.ok ? undefined : (response.error as { reason?: string }).reason,
+        reason: getReason(response),
         sends,
+        ...host.describe(),
       });
       if (isCountedByEngine(commandName, result)) {
         sequence += 1;
@@ -114,6 +117,13 @@
   return { setSequence, send, getSequence: () => sequence };
 }
 
+function getReason(response: Result<'accepted' | 'held', EngineFault>): string | undefined {
+  if (response.ok) {
+    return undefined;
+  }
+  return 'reason' in response.error ? response.error.reason : response.error.kind;
+}
+
 /**
  * Returns whether the engine's command count includes a command. A repeated load that is in
  * progress is accepted but not counted; every unload is counted.
--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -75,6 +75,11 @@
   const commandSender = createCommandSender(
     {
       ...host,
+      describe: () => ({
+        run: upstream.startedAt,
+        occupied: slots.length,
+        room: host.getAdapterSlots(commandSender.getSequence()),
+      }),
       isOtherUnanswered: (sequence) =>
         slots.some(
           ({ state, sentAtSequence }) => state === 'uncertain' && sentAtSequence === sequence,
@@ -252,13 +257,20 @@
           slot.isUnloadSent && !reportedKeys.has(slot.key) && !uncertainSlots.includes(slot),
       )
       .map((slot) => ({ ...slot, state: 'leaving' as const, dueAt: readAt }));
+    const dropped = slots.filter(({ key }) => !reportedKeys.has(key)).length;
     slots = [...residentSlots, ...loadingSlots, ...uncertainSlots, ...leavingSlots];
+    const known = commandSender.getSequence();
     commandSender.setSequence(value.sequence);
     isStateCurrent = true;
     slots.forEach(({ key }) => recentlyHeld.add(key));
     host.log('engineRead', {
       engine: upstream.id,
+      run: upstream.startedAt,
+      reportedRun: value.startedAt,
+      known,
       sequence: value.sequence,
+      leaving: leavingSlots.length,
+      dropped: dropped - uncertainSlots.length - leavingSlots.length,
       adapters: residentSlots.length,
       coming: loadingSlots.length,
       uncertain: uncertainSlots.length,
--- a/test/routed/playOwnedEngine.ts
+++ b/test/routed/playOwnedEngine.ts
@@ -26,6 +26,8 @@
   /** Times at which the owner's process ends; another one follows after `succeedAfterMs`. */
   killsAt?: readonly number[];
   succeedAfterMs?: number;
+  /** Whether reports state when the engine started. */
+  areStartsReported?: boolean;
   /** Whether reports list adapters that are unloaded once their requests have ended. */
   areLeavingListed?: boolean;
 }
@@ -144,6 +146,7 @@
       coming: ready
         .filter((entry) => !isReady(entry))
         .map(([adapter]) => ({ model: 'm', adapter, version: 1 })),
+      startedAt: options.areStartsReported ? upstream.startedAt : undefined,
       sequence,
       isBusy: false,
     };
