LIMIT: a conflict of a repeated command is no proof, and an older report is not the present state

Seen by users: an engine with 11 adapter slots was ordered to load a 12th adapter. Cause: after a command without an answer the owner reads the engine's report, which may be older than its own last command. It went back to that older count and sent a load, which got no answer, and its repetition a conflict. The conflict was taken as proof that the load had been executed; the owner counted it and its count matched the engine's again, with another adapter in its list than on the engine. The repeated load that was to confirm it was a real load then, into a full engine. Change: after a send without an answer only an acceptance says that a command was executed; a conflict leaves it uncertain until a report with a newer count is read. A report with a lower count than the owner knows is read again (engineReadStale) for as long as reports may be old. Why it works: every command is conditional on the count, and the list of slots now always belongs to that count.

--- a/src/engines/createCommandSender.ts
+++ b/src/engines/createCommandSender.ts
@@ -28,13 +28,8 @@
    * with the same expected sequence can be executed any more.
    */
   onSequenceAdvanced(sequence: number): void;
-  /**
-   * Returns whether an earlier command with the same expected sequence has no response yet, so that the
-   * engine may have executed that one.
-   */
-  isOtherUnanswered(sequence: number): boolean;
   countCommand(kind: string, outcome: string): void;
-  /** Returns what is logged with each command beside its own fields. */
+  /** Returns what is logged with each command. */
   describe(): Record<string, number>;
   log: Log;
 }
@@ -45,13 +40,12 @@
  */
 export default function createCommandSender(host: CommandSenderHost, engine: string) {
   let sequence = 0;
-  /** Command count of the engine when this owner first read its report. */
-  let initialSequence: number | undefined;
+  /** When this owner last learned that the engine has counted a command. */
+  let advancedAt = -Infinity;
 
   /** Sets the command count that the engine reports. */
   function setSequence(reported: number): void {
     sequence = reported;
-    initialSequence ??= reported;
   }
 
   /** Sends a command, and sends it again if no response arrives. */
@@ -64,7 +58,7 @@
       }
       const expectedSequence = sequence;
       const response = await host.sendCommand(command, { fence, expectedSequence });
-      const result = getResult(commandName, response, sends > 1);
+      const result = getResult(response, sends > 1);
       host.countCommand(commandName, result);
       host.log('engineOrdered', {
         engine,
@@ -80,41 +74,36 @@
       });
       if (isCountedByEngine(commandName, result)) {
         sequence += 1;
+        advancedAt = host.now();
         host.onSequenceAdvanced(expectedSequence);
       }
-      const isConflict = !response.ok && response.error.kind === 'conflict';
-      if (result !== 'noAnswer' || isConflict || sends === maxSends) {
+      const isUnanswered = !response.ok && response.error.kind === 'noAnswer';
+      if (!isUnanswered || sends === maxSends) {
         return result;
       }
     }
   }
 
-  /**
-   * Returns the result that a response stands for. A conflict on a retry means that the earlier
-   * send was executed: once this owner has advanced the command count, no other VM can advance it. If
-   * another command of this owner may have advanced it, neither counts as executed or not.
-   */
-  function getResult(
-    commandName: string,
-    response: Result<'accepted' | 'held', EngineFault>,
-    isRetry: boolean,
-  ): CommandResult {
-    if (response.ok) {
-      return response.value;
-    }
-    const hasAdvancedSequence = initialSequence !== undefined && sequence > initialSequence;
-    const hasAdvanced =
-      response.error.kind === 'conflict' &&
-      isRetry &&
-      hasAdvancedSequence &&
-      commandName !== 'confirm';
-    if (!hasAdvanced) {
-      return response.error.kind;
-    }
-    return host.isOtherUnanswered(sequence) ? 'noAnswer' : 'accepted';
-  }
+  return {
+    setSequence,
+    send,
+    getSequence: () => sequence,
+    getAdvancedAt: () => advancedAt,
+  };
+}
 
-  return { setSequence, send, getSequence: () => sequence };
+/**
+ * Returns the result that a response stands for. After a send without a response, only an acceptance
+ * tells whether the command was executed: a conflict may stem from any other command.
+ */
+function getResult(
+  response: Result<'accepted' | 'held', EngineFault>,
+  isRetry: boolean,
+): CommandResult {
+  if (response.ok) {
+    return response.value;
+  }
+  return isRetry ? 'noAnswer' : response.error.kind;
 }
 
 function getReason(response: Result<'accepted' | 'held', EngineFault>): string | undefined {
--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -26,6 +26,8 @@
  * only after this time.
  */
 const REPORT_LAG_MS = 400;
+/** A report with a lower command count than the owner knows is older than its last command until then. */
+const MAX_REPORT_AGE_MS = 1500;
 const RETRY_PAUSE_MS = 150;
 /** Interval at which the report of an unreachable engine is requested. */
 const UNREACHABLE_RETRY_MS = 400;
@@ -80,10 +82,6 @@
         occupied: slots.length,
         room: host.getAdapterSlots(commandSender.getSequence()),
       }),
-      isOtherUnanswered: (sequence) =>
-        slots.some(
-          ({ state, sentAtSequence }) => state === 'uncertain' && sentAtSequence === sequence,
-        ),
       onSequenceAdvanced: (sequence) => {
         slots = slots.filter(
           (slot) => slot.state !== 'uncertain' || slot.sentAtSequence !== sequence,
@@ -223,6 +221,12 @@
     }
     const { value } = report;
     const readAt = host.now();
+    const known = commandSender.getSequence();
+    if (value.sequence < known && readAt - commandSender.getAdvancedAt() < MAX_REPORT_AGE_MS) {
+      host.log('engineReadStale', { engine: upstream.id, known, sequence: value.sequence });
+      nextReadAt = readAt + RETRY_PAUSE_MS;
+      return RETRY_PAUSE_MS;
+    }
     models = value.models.map(({ name, version }) => ({ name, version }));
     const residentSlots = value.models.flatMap((model) =>
       model.adapters.map((adapter) =>
@@ -259,7 +263,6 @@
       .map((slot) => ({ ...slot, state: 'leaving' as const, dueAt: readAt }));
     const dropped = slots.filter(({ key }) => !reportedKeys.has(key)).length;
     slots = [...residentSlots, ...loadingSlots, ...uncertainSlots, ...leavingSlots];
-    const known = commandSender.getSequence();
     commandSender.setSequence(value.sequence);
     isStateCurrent = true;
     slots.forEach(({ key }) => recentlyHeld.add(key));
--- a/src/events/events.ts
+++ b/src/events/events.ts
@@ -169,6 +169,7 @@
   engineRead: e(408, 'info', 'The owner read which adapters an engine holds.'),
   engineLost: e(417, 'warn', 'An engine does not respond to its owner.'),
   engineRegained: e(418, 'info', 'An engine responds to its owner again.'),
+  engineReadStale: e(419, 'info', 'A report of an engine is older than a command that it counted.'),
   engineOrdered: e(409, 'info', 'A command was sent to an engine.'),
   loadDone: e(410, 'info', 'An adapter was loaded.'),
   loadFailed: e(411, 'warn', 'The load of an adapter failed.'),
