LIMIT: an owner keeps room for loads that other processes sent before an engine restarted

Cause: a restarted engine counts its commands from 0, so that a load that was sent before, without an answer, is executed once the count is the expected one. Room was kept for such loads by the process that had sent them only. A process that follows it, on the same VM or another, knew of none and filled the engine. Change: an owner that follows another process keeps half of the adapter slots free for the 15 s in which loads of that process may be executed, on engines that have restarted within the 30 s before it took over or since (15 s for the loads, 15 s for differences of clocks). An engine that has more adapters than room unloads idle ones at once. Why it works: loads sent to the present run are excluded by the count; of those sent to an earlier run each needs a command of its own that got no answer and whose expected count is just reached, so that a chain of as many as half of the slots has to come before the owner reads the engine's state again.

--- a/src/engines/chooseEngineAction.ts
+++ b/src/engines/chooseEngineAction.ts
@@ -51,6 +51,10 @@
   if (expired) {
     return { kind: 'drop', request: expired, reason: 'expired' };
   }
+  const excess = view.slots.length > view.adapterSlots ? tryGetVictim(now, view) : undefined;
+  if (excess) {
+    return { kind: 'unload', slot: excess };
+  }
   const loading = view.slots.filter((slot) => slot.state === 'loading');
   const queue = sortByUrgency(view.loadRequests);
   const [nextRequest] = loading.length < view.maxConcurrentLoads ? queue : [];
--- a/src/engines/createOwnedEngines.ts
+++ b/src/engines/createOwnedEngines.ts
@@ -10,6 +10,7 @@
 import type EngineState from './EngineState';
 
 interface OwnedEnginesHost extends Clock {
+  getTimeOfDay(): number;
   control: EngineControl;
   tryGetFence(now: number, engine: string): number | undefined;
   getVersion(key: string): number;
@@ -48,6 +49,15 @@
   const unansweredLoads = new Map<string, ReturnType<typeof createUnansweredLoads>>();
   let stateSequence = 0;
 
+  /** Starts to manage an engine that other processes may have sent commands to until now. */
+  function take(id: string): void {
+    removeExpiredLoads(host.now());
+    const unanswered = unansweredLoads.get(id) ?? createUnansweredLoads();
+    unansweredLoads.set(id, unanswered);
+    unanswered.recordOthers(host.now(), host.getTimeOfDay());
+    open(id);
+  }
+
   /** Starts to manage an engine. */
   function open(id: string): void {
     const upstream = parts.upstreams.tryGet(id);
@@ -93,9 +103,10 @@
         getVersion: host.getVersion,
         getModels: () => getService()?.models ?? [],
         getMaxConcurrentLoads: () => host.getMaxConcurrentLoads(id),
-        getAdapterSlots: (sequence) =>
-          (getService()?.adapterSlots ?? 0) -
-          unanswered.getPendingCount(host.now(), startedAt, sequence),
+        getAdapterSlots: (sequence) => {
+          const slots = getService()?.adapterSlots ?? 0;
+          return slots - unanswered.getReserve(host.now(), { startedAt, sequence, slots });
+        },
         announce,
         refuse: (request, reason) => {
           host.log('loadRefused', { engine: id, adapter: request.key, reason });
@@ -150,6 +161,7 @@
   }
 
   return {
+    take,
     open,
     close,
     reopenIfRestarted,
--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -46,8 +46,11 @@
   getPartitionedMs(now: number): number;
   /** Returns whether another VM reaches no upstream. */
   isPeerPartitioned(now: number, vm: string): boolean;
-  /** Called once this VM is recorded as the owner of an engine. */
-  onAcquired(engine: string, fence: number): void;
+  /**
+   * Called once this VM is recorded as the owner of an engine. `hadOthers`: another process may have
+   * sent commands to the engine before.
+   */
+  onAcquired(engine: string, fence: number, hadOthers: boolean): void;
   onLost(engine: string): void;
   log: Log;
 }
@@ -287,6 +290,10 @@
       isFromUnansweredClaim,
       isFormerTakeover,
     });
+    const isOwnRecord = record?.holder === address && record.incarnation === incarnation;
+    const hadOthers = record
+      ? !isOwnRecord || isFromUnansweredClaim
+      : generation > FIRST_GENERATION;
     interrupted.delete(engine);
     writtenRecords.set(engine, { revision: fence, sendAfter });
     owned.set(engine, { fence, leaseNumber, sendAfter });
@@ -296,7 +303,7 @@
       from: record?.holder,
       quietMs: Math.round(sendAfter - now),
     });
-    host.onAcquired(engine, fence);
+    host.onAcquired(engine, fence, hadOthers);
   }
 
   /** Returns the time from which this VM may send commands under a claim that was confirmed. */
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -289,9 +289,13 @@
       members,
       getPartitionedMs: (now) => reach.getPartitionedMs(now),
       isPeerPartitioned: (now, vm) => reach.isPeerPartitioned(now, vm),
-      onAcquired: (engine, fence) => {
+      onAcquired: (engine, fence, hadOthers) => {
         broadcaster.broadcast({ kind: 'engineClaimed', engine, fence });
-        engines.open(engine);
+        if (hadOthers) {
+          engines.take(engine);
+        } else {
+          engines.open(engine);
+        }
       },
       onLost: (engine) => engines.close(engine),
     },
--- a/test/routed/lateLoads.test.ts
+++ b/test/routed/lateLoads.test.ts
@@ -109,6 +109,7 @@
           },
         }),
       },
+      getTimeOfDay: clock.now,
       tryGetFence: () => 1,
       getRestMs: () => 0,
       isPartitioned: () => false,
--- a/test/routed/playOwnedEngine.ts
+++ b/test/routed/playOwnedEngine.ts
@@ -164,7 +164,7 @@
 
   let reports = [{ at: clock.now(), report: getReport() }];
 
-  function createOwner() {
+  function createOwner(isFirst = false) {
     let isAlive = true;
     const engines = createOwnedEngines(
       {
@@ -187,6 +187,7 @@
             return { ok: true, value: (past.at(-1) ?? reports[0]).report };
           },
         },
+        getTimeOfDay,
         tryGetFence: () => (isAlive ? 1 : undefined),
         getRestMs: () => 0,
         isPartitioned: () => false,
@@ -205,7 +206,11 @@
       },
       { address: 'vm' },
     );
-    engines.open('e');
+    if (isFirst) {
+      engines.open('e');
+    } else {
+      engines.take('e');
+    }
     const kill = () => {
       isAlive = false;
       engines.close('e');
@@ -213,7 +218,7 @@
     return { ...engines, kill };
   }
 
-  let owner: ReturnType<typeof createOwner> | undefined = createOwner();
+  let owner: ReturnType<typeof createOwner> | undefined = createOwner(true);
   options.crashesAt?.forEach((at) => clock.setTimer(at, crash));
   options.killsAt?.forEach((at) =>
     clock.setTimer(at, () => {
