LIMIT: a new owner learns what is in use before it gives commands

Seen by users: an engine was ordered to load beyond its slots. Found by looking for the same cause (an adapter that still has a slot and that the owner doesn't know of) at owners that follow another process: a VM that starts again claims its engines at once and unloaded adapters in use, as no VM had reported its requests yet; a further restart then forgot the open unloads. Change: VMs report what they use on an engine to its new owner when it is claimed; the owner reads the engine 200 ms later; adapters that requests use and that are neither reported nor known to be leaving count as occupying a slot. Not covered: a VM whose report is later than 200 ms.

--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -56,6 +56,8 @@
   /** Returns whether this VM reaches no upstream. */
   isPartitioned(): boolean;
   getUse(now: number, key: string): { inFlight: number; lastUsedAt: number };
+  /** Returns the adapters that requests use on this engine. */
+  getBusyAdapters(now: number): string[];
   getVersion(key: string): number;
   getModels(): BaseModel[];
   /** Returns the slots that this owner may fill, given the engine's run and command count. */
@@ -73,7 +75,11 @@
 }
 
 /** Decides which commands one engine gets from its owner, and sends them. */
-export default function createEngine(host: EngineHost, upstream: Upstream) {
+export default function createEngine(
+  host: EngineHost,
+  upstream: Upstream,
+  options: { /** Time until the engine is first read, in milliseconds. */ delayMs: number },
+) {
   const slots = createAdapterSlots({ loadMs: LOAD_MS });
   const queue = createLoadQueue();
   let models: { name: string; version: number }[] = [];
@@ -87,7 +93,7 @@
       describe: () => ({
         run: runStartedAt,
         occupied: slots.getAll().length,
-        room: host.getAdapterSlots(runStartedAt, commandSender.getSequence()),
+        room: getRoom(),
       }),
       onSequenceAdvanced: slots.removeSuperseded,
     },
@@ -96,7 +102,7 @@
   let isStateCurrent = false;
   let isReachable = true;
   let isReachabilityUncertain = false;
-  let nextReadAt = -Infinity;
+  let nextReadAt = host.now() + options.delayMs;
   let isRunning = false;
   let isStopped = false;
   let cancelTimer = () => {};
@@ -173,7 +179,7 @@
     if (missingModel && models.length === 0) {
       return loadModel(now, missingModel);
     }
-    const adapterSlots = host.getAdapterSlots(runStartedAt, commandSender.getSequence());
+    const adapterSlots = getRoom();
     const action = chooseEngineAction(now, {
       slots: slots.getAll(),
       loadRequests: queue.getAll(),
@@ -200,6 +206,16 @@
       .exhaustive();
   }
 
+  /**
+   * Returns the slots that this owner may fill. An adapter that is in use, and neither reported nor
+   * known to be leaving, still has a slot until its requests have ended.
+   */
+  function getRoom(): number {
+    const keys = new Set(slots.getAll().map(({ key }) => key));
+    const hidden = host.getBusyAdapters(host.now()).filter((key) => !keys.has(key));
+    return host.getAdapterSlots(runStartedAt, commandSender.getSequence()) - hidden.length;
+  }
+
   async function readState(now: number): Promise<number> {
     if (now < nextReadAt) {
       return nextReadAt - now;
--- a/src/engines/createOwnedEngines.ts
+++ b/src/engines/createOwnedEngines.ts
@@ -9,6 +9,9 @@
 import type EngineControl from './EngineControl';
 import type EngineState from './EngineState';
 
+/** Time until the other VMs have reported which adapters they use to a new owner. */
+const USE_REPORT_MS = 200;
+
 interface OwnedEnginesHost extends Clock {
   getTimeOfDay(): number;
   control: EngineControl;
@@ -41,7 +44,7 @@
 /** Manages the engines that this VM owns. */
 export default function createOwnedEngines(
   host: OwnedEnginesHost,
-  parts: { upstreams: Pick<Upstreams, 'tryGet'>; usage: Pick<Usage, 'getUse'> },
+  parts: { upstreams: Pick<Upstreams, 'tryGet'>; usage: Pick<Usage, 'getUse' | 'getBusyAdapters'> },
   options: { address: string },
 ) {
   const engines = new Map<string, ReturnType<typeof createEngine>>();
@@ -55,11 +58,11 @@
     const unanswered = unansweredLoads.get(id) ?? createUnansweredLoads();
     unansweredLoads.set(id, unanswered);
     unanswered.recordOthers(host.now(), host.getTimeOfDay());
-    open(id);
+    open(id, USE_REPORT_MS);
   }
 
   /** Starts to manage an engine. */
-  function open(id: string): void {
+  function open(id: string, delayMs = 0): void {
     const upstream = parts.upstreams.tryGet(id);
     if (!upstream || engines.has(id)) {
       return;
@@ -99,6 +102,7 @@
         getRestMs: (now) => host.getRestMs(now, upstream),
         tryGetFence: (now) => host.tryGetFence(now, id),
         getUse: (now, key) => parts.usage.getUse(now, id, key),
+        getBusyAdapters: (now) => parts.usage.getBusyAdapters(now, id).map(([key]) => key),
         getVersion: host.getVersion,
         getModels: () => getService()?.models ?? [],
         getMaxConcurrentLoads: () => host.getMaxConcurrentLoads(id),
@@ -114,6 +118,7 @@
         countCommand: (kind, outcome) => host.countCommand(kind, outcome),
       },
       upstream,
+      { delayMs },
     );
     engines.set(id, engine);
     engine.run();
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -290,7 +290,7 @@
       getPartitionedMs: (now) => reach.getPartitionedMs(now),
       isPeerPartitioned: (now, vm) => reach.isPeerPartitioned(now, vm),
       onAcquired: (engine, fence, hadOthers) => {
-        broadcaster.broadcast({ kind: 'engineClaimed', engine, fence });
+        broadcaster.broadcast({ kind: 'engineClaimed', engine, fence, owner: address });
         if (hadOthers) {
           engines.take(engine);
         } else {
--- a/src/entry/receiveMessage.ts
+++ b/src/entry/receiveMessage.ts
@@ -117,9 +117,12 @@
         parts.pendingLoads.resolveServable();
       }
     })
-    .with({ kind: 'engineClaimed' }, ({ engine, fence }) =>
-      parts.ownerships.handleClaim(engine, fence),
-    )
+    .with({ kind: 'engineClaimed' }, ({ engine, fence, owner }) => {
+      parts.ownerships.handleClaim(engine, fence);
+      if (owner !== undefined) {
+        parts.usagePublisher.publishUse(engine, owner);
+      }
+    })
     .with({ kind: 'loadWanted' }, (request) => {
       const engine = parts.engines.tryGet(request.engine);
       const { model, adapter, version, urgency, waitMs } = request;
--- a/src/mesh/Message.ts
+++ b/src/mesh/Message.ts
@@ -220,7 +220,13 @@
    * Announces that the sender now owns an engine. A VM that owned it under a lower fencing number
    * sends it no more commands.
    */
-  z.object({ kind: z.literal('engineClaimed'), engine: z.string(), fence: z.number() }),
+  z.object({
+    kind: z.literal('engineClaimed'),
+    engine: z.string(),
+    fence: z.number(),
+    /** Address of the owner; earlier versions do not send it. */
+    owner: z.string().optional(),
+  }),
   /** Requests that the owner of an engine load an adapter on it. */
   z.object({
     kind: z.literal('loadWanted'),
--- a/src/usage/createUsagePublisher.ts
+++ b/src/usage/createUsagePublisher.ts
@@ -86,6 +86,14 @@
     }
   }
 
+  /** Reports the adapters that this VM uses on an engine to a new owner, if there are any. */
+  function publishUse(upstream: string, owner: string): void {
+    const share = usage.takeAdapterUsage(host.now(), upstream);
+    if (share.length > 0 && owner !== options.address) {
+      host.send(owner, { kind: 'share', upstream, share });
+    }
+  }
+
   /**
    * Publishes an engine's state immediately to all VMs if broadcasts are not relayed. Otherwise
    * sends it immediately to `requesters` and publishes it to all VMs with the next `publish`.
@@ -115,5 +123,5 @@
     });
   }
 
-  return { publish, publishIdle, publishState, collect };
+  return { publish, publishIdle, publishUse, publishState, collect };
 }
--- a/test/routed/adapterSlots.test.ts
+++ b/test/routed/adapterSlots.test.ts
@@ -22,6 +22,13 @@
   it('are not exceeded if an unload runs late and its adapter is in use', () =>
     checkSlots({ unknownUseShare: 0.3 }));
 
+  it('are not exceeded if owners restart while adapters are in use', () =>
+    checkSlots({
+      killsAt: [4000, 5000, 8000, 9000, 12_000, 13_000, 16_000, 17_000],
+      succeedAfterMs: 300,
+      useUnknownMs: 150,
+    }));
+
   it('are not exceeded if the owner and the engine restart while commands run late', () =>
     checkSlots({ killsAt: [8500, 17_000], crashesAt: [9000, 18_000], succeedAfterMs: 300 }));
 
--- a/test/routed/engine.test.ts
+++ b/test/routed/engine.test.ts
@@ -384,6 +384,7 @@
         inFlight: inUse.has(key) ? 1 : 0,
         lastUsedAt: inUse.has(key) ? now : -Infinity,
       }),
+      getBusyAdapters: () => [...inUse],
       getVersion: () => 1,
       getModels: () => [{ name: 'm', sizeMb: 1, loadMs: 300, adapterSizeMb: 1 }],
       getAdapterSlots: () => ADAPTER_SLOTS,
@@ -396,6 +397,7 @@
       log: () => {},
     },
     UPSTREAM,
+    { delayMs: 0 },
   );
   engine.run();
   return { clock, engine, fake, ownership, inUse, refused, getState: () => lastState! };
--- a/test/routed/lateLoads.test.ts
+++ b/test/routed/lateLoads.test.ts
@@ -124,7 +124,10 @@
     },
     {
       upstreams: { tryGet: () => upstream },
-      usage: { getUse: () => ({ inFlight: 0, lastUsedAt: -Infinity }) },
+      usage: {
+        getUse: () => ({ inFlight: 0, lastUsedAt: -Infinity }),
+        getBusyAdapters: () => [],
+      },
     },
     { address: 'vm' },
   );
--- a/test/routed/playOwnedEngine.ts
+++ b/test/routed/playOwnedEngine.ts
@@ -30,6 +30,8 @@
   succeedAfterMs?: number;
   /** Share of adapters whose requests the owner doesn't know of; the others' it knows at once. */
   unknownUseShare?: number;
+  /** Time from an owner's start until it knows which adapters are in use. */
+  useUnknownMs?: number;
   /** Whether reports state when the engine started. */
   areStartsReported?: boolean;
   /** Whether reports list adapters that are unloaded once their requests have ended. */
@@ -55,6 +57,7 @@
   const adapters = new Map<string, LoadedAdapter>();
   let sequence = 0;
   let isDown = false;
+  let useKnownAt = -Infinity;
   let excessLoads = 0;
   let loads = 0;
   let upstream: Upstream = {
@@ -162,15 +165,24 @@
   /** Returns the requests in flight on an adapter, as the owner knows them. */
   function getUse(key: string) {
     const adapter = key.slice(MODEL.name.length + 1);
-    const isKnown = Number(adapter.slice(1)) >= ADAPTERS * (options.unknownUseShare ?? 0);
+    const isKnown =
+      clock.now() >= useKnownAt &&
+      Number(adapter.slice(1)) >= ADAPTERS * (options.unknownUseShare ?? 0);
     const inFlight = isKnown ? (adapters.get(adapter)?.running ?? 0) : 0;
     return { inFlight, lastUsedAt: inFlight > 0 ? clock.now() : -Infinity };
   }
 
+  function getBusyAdapters(): [string, number][] {
+    return [...adapters.keys()]
+      .map((name): [string, number] => [`${MODEL.name}/${name}`, getUse(`m/${name}`).inFlight])
+      .filter(([, inFlight]) => inFlight > 0);
+  }
+
   let reports = [{ at: clock.now(), report: getReport() }];
 
   function createOwner(isFirst = false) {
     let isAlive = true;
+    useKnownAt = clock.now() + (isFirst ? 0 : (options.useUnknownMs ?? 0));
     const engines = createOwnedEngines(
       {
         ...clock,
@@ -207,7 +219,7 @@
       },
       {
         upstreams: { tryGet: () => upstream },
-        usage: { getUse: (_now, _engine, key) => getUse(key) },
+        usage: { getUse: (_now, _engine, key) => getUse(key), getBusyAdapters },
       },
       { address: 'vm' },
     );
