A response with a status below 100 no longer silences a VM (status 000)

Seen by callers: after one answer `HTTP/1.1 000` of an upstream the VM that received it answered nothing for 9 to 12 s. Cause: the HTTP client takes a status below 100 for an interim response and then fails a bare assertion in its parser. For an assertion without a message Node.js parses the source file to quote the expression, which takes that long for the bundle, whose code is one line. Change: a status below 100 ends the request and its connection in the callback for heads, at upstreams, engines, the key-value service and the VM list; it counts as a lost response of that upstream. In bundles every assertion without a message gets one, so that a failed assertion of a library costs its throw.

--- a/scripts/build-platform.sh
+++ b/scripts/build-platform.sh
@@ -8,6 +8,7 @@
 node_modules/.bin/esbuild src/main.ts --bundle --minify --platform=node --format=cjs \
   --target=node20 --external:cbor-extract --log-level=warning --outfile=target/baobablink.code.cjs \
   --legal-comments=none \
+  --alias:node:assert=./scripts/bundle/assert.cjs \
   --define:import.meta.url=bundleUrl \
   '--define:process.env.CBOR_NATIVE_ACCELERATION_DISABLED="true"' \
   '--define:process.env.ROARR_LOG="true"' \
--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -6,6 +6,7 @@
 mkdir -p dist
 esbuild src/main.ts --bundle --platform=node --format=cjs --target=node20 \
   --external:cbor-extract --log-level=warning --outfile=dist/baobablink.cjs \
+  --alias:node:assert=./scripts/bundle/assert.cjs \
   --define:import.meta.url=bundleUrl \
   '--define:process.env.CBOR_NATIVE_ACCELERATION_DISABLED="true"' \
   '--define:process.env.ROARR_LOG="true"' \
--- a/src/keyValue/createEtcdKeyValue.ts
+++ b/src/keyValue/createEtcdKeyValue.ts
@@ -3,6 +3,7 @@
 import type Result from '../shared/Result';
 import createBoundedConnector from '../upstream/createBoundedConnector';
 import readResponseText from '../upstream/readResponseText';
+import rejectInvalidStatus from '../upstream/rejectInvalidStatus';
 import type KeyValue from './KeyValue';
 import type KeyValueEntry from './KeyValueEntry';
 import type KeyValueError from './KeyValueError';
@@ -56,6 +57,7 @@
     options.countCall(name);
     try {
       const response = await request(`${options.url}${path}`, {
+        onInfo: rejectInvalidStatus,
         method: 'POST',
         dispatcher: agent,
         body: JSON.stringify(body),
@@ -147,6 +149,7 @@
     const readStream = async () => {
       options.countCall('watch');
       const response = await request(`${options.url}/v3/watch`, {
+        onInfo: rejectInvalidStatus,
         method: 'POST',
         dispatcher: agent,
         bodyTimeout: 0,
--- a/src/upstream/createConnections.ts
+++ b/src/upstream/createConnections.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import createPartCollector from './createPartCollector';
 import type ResponseHandler from './ResponseHandler';
+import rejectInvalidStatus from './rejectInvalidStatus';
 
 /** TCP repeats a lost first packet only after 1 s; trying another upstream is faster. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -199,6 +200,7 @@
           }
         },
         onResponseStart: (_, status, headers) => {
+          rejectInvalidStatus({ statusCode: status });
           isClosing ||= CLOSE_OPTION.test(String(headers.connection));
           if (status >= 200) {
             resetOverheadLimit(connection);
--- a/src/upstream/createHttpEngineClient.ts
+++ b/src/upstream/createHttpEngineClient.ts
@@ -6,6 +6,7 @@
 import type EngineError from './EngineError';
 import type EngineClient from './EngineClient';
 import readResponseText from './readResponseText';
+import rejectInvalidStatus from './rejectInvalidStatus';
 
 const COMMAND_TIMEOUT_MS = 15_000;
 const READ_TIMEOUT_MS = 2000;
@@ -63,6 +64,7 @@
   ): Promise<Result<unknown, EngineError>> {
     try {
       const response = await request(`http://${address}${path}`, {
+        onInfo: rejectInvalidStatus,
         method,
         dispatcher: commandAgent,
         body: body === undefined ? undefined : JSON.stringify(body),
@@ -168,6 +170,7 @@
     };
     const readStream = async () => {
       const response = await request(`http://${address}${completion.path}`, {
+        onInfo: rejectInvalidStatus,
         method: 'POST',
         dispatcher: agent,
         headersTimeout: 0,
--- a/src/vmList/createVirtualMachineList.ts
+++ b/src/vmList/createVirtualMachineList.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod';
 import createBoundedConnector from '../upstream/createBoundedConnector';
 import readResponseText from '../upstream/readResponseText';
+import rejectInvalidStatus from '../upstream/rejectInvalidStatus';
 import type VirtualMachine from './VirtualMachine';
 
 const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
@@ -27,7 +28,11 @@
 
   return async function tryGetList(): Promise<VirtualMachine[] | undefined> {
     try {
-      const response = await request(url, { dispatcher, signal: AbortSignal.timeout(timeoutMs) });
+      const response = await request(url, {
+        dispatcher,
+        onInfo: rejectInvalidStatus,
+        signal: AbortSignal.timeout(timeoutMs),
+      });
       const parsed = VmListResponse.safeParse(JSON.parse(await readResponseText(response.body)));
       return parsed.success ? parsed.data.vms : undefined;
     } catch {
--- a/standins/platform/createPlainServer.ts
+++ b/standins/platform/createPlainServer.ts
@@ -97,6 +97,14 @@
       response.end('failed');
       return;
     }
+    if (fault === 'oddStatus') {
+      const status = responseCount % 2 === 0 ? '000' : '099';
+      responseCount += 1;
+      request.socket.write(
+        `HTTP/1.1 ${status} Odd\r\nrequest-id: ${id}\r\ncontent-length: 4\r\n\r\ndone`,
+      );
+      return;
+    }
     responseCount += 1;
     response.useChunkedEncodingByDefault = fault !== 'unframed';
     response.writeHead(200, {
--- a/test/platform/connections.test.ts
+++ b/test/platform/connections.test.ts
@@ -27,6 +27,21 @@
     });
   });
 
+  // Guards against a client that fails an assertion inside of its parser.
+  ['000', '001', '099'].forEach((status) => {
+    it(`reports the status ${status} as an error, and goes on with a new connection`, async () => {
+      let responses = 0;
+      const address = await listen((socket) => {
+        responses += 1;
+        const line = responses === 1 ? `${status} Odd` : '200 OK';
+        socket.write(`HTTP/1.1 ${line}\r\nContent-Length: 4\r\n\r\ndone`);
+      });
+      const reason = `a response has the status ${Number(status)}`;
+      expect(await sendRequest(address)).to.deep.equal({ kind: 'error', reason });
+      expect(await sendRequest(address)).to.deep.include({ kind: 'complete', body: 'done' });
+    });
+  });
+
   it('reports an error if the connection is reset during a response without a length', async () => {
     const address = await listen((socket) => {
       socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nha', () => {
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -82,6 +82,17 @@
     expect(results.filter(({ status }) => status === 0)).not.to.have.length(0);
   });
 
+  it('keep answering while some servers respond with a status below 100', async () => {
+    const [odd] = trial.servers.filter(({ service }) => service === 'desk');
+    await trial.post('faults', { servers: { [odd.id]: 'oddStatus' } });
+    const results = await runWithCallers('odd', () => wait(FAULT_FREE_MS));
+    await trial.post('faults', { servers: {} });
+    expect(results.filter(({ kind }) => kind === 'look')).not.to.have.length(0);
+    expect(results.filter(({ status }) => status === 200)).to.have.length.greaterThan(
+      results.length / 2,
+    );
+  });
+
   it('stop sending prompts that crash one engine after the other, and only those', async () => {
     const callers = createCallers(trial, {
       name: 'crashing',
--- a/test/unit/bundle.test.ts
+++ b/test/unit/bundle.test.ts
@@ -64,4 +64,18 @@
     writeFileSync(getCacheFile(), Buffer.concat([cache.subarray(0, 64), Buffer.alloc(64, 7)]));
     expect(run()).to.equal(`2,4 */* ${bundle}\n`);
   });
+
+  it('fails an assertion of a library without reading the source', () => {
+    writeBundle(`
+      const assert = require(${JSON.stringify(path.resolve('scripts/bundle/assert.cjs'))});
+      const failures = [() => assert(1 > 2), () => assert.ok(0), () => assert.equal(1, 2)];
+      failures.forEach((fail) => { try { fail(); } catch (error) { console.log(error.code); } });
+      try { assert(1 > 2); } catch ({ message }) { console.log(message); }
+    `);
+    expect(run().split('\n')).to.deep.equal([
+      ...Array.from({ length: 3 }, () => 'ERR_ASSERTION'),
+      'an assertion of a library failed',
+      '',
+    ]);
+  });
 });
