--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -56,7 +56,13 @@
 }
 
 interface Ownership {
+  /**
+   * Revision at which the engine was claimed. It does not change while the ownership lasts: a command
+   * that is delayed must not arrive after one with a higher number.
+   */
   fence: number;
+  /** Revision of the record, which is written again after the quiet time of a takeover. */
+  recordRevision: number;
   /** Lease of this VM's registration under which the ownership was recorded. */
   leaseNumber: number;
   /** No command is sent before this time: the former owner's last ones may still arrive. */
@@ -175,13 +181,13 @@
 
   /** Ends the ownership of an engine that this VM does not reach, so that another VM can claim it. */
   async function giveUp(engine: string): Promise<void> {
-    const { fence } = owned.get(engine)!;
+    const { recordRevision } = owned.get(engine)!;
     endOwnership(engine, 'no upstream in reach');
     const generation = host.mirror.getGeneration();
     const record = { holder: NO_HOLDER, incarnation: '', generation };
     const key = `${OWNER_PREFIX}${engine}`;
     const response = await host.keyValue.transact({
-      compare: [{ key, modRevision: fence }],
+      compare: [{ key, modRevision: recordRevision }],
       writes: [{ kind: 'put', key, value: JSON.stringify(record) }],
       readOnFailure: [],
     });
@@ -194,10 +200,10 @@
   /** Returns whether the quiet time after a takeover has ended and the record does not say so yet. */
   function isSettleDue(now: number, engine: string): boolean {
     const record = tryGetRecord(engine);
-    const { fence, sendAfter } = owned.get(engine)!;
+    const { recordRevision, sendAfter } = owned.get(engine)!;
     return (
       record?.isTakeover === true &&
-      record.revision === fence &&
+      record.revision === recordRevision &&
       now >= sendAfter &&
       now - (settleAttemptedAt.get(engine) ?? -Infinity) > SETTLE_RETRY_MS
     );
@@ -214,7 +220,7 @@
     const generation = host.mirror.getGeneration();
     const key = `${OWNER_PREFIX}${engine}`;
     const response = await host.keyValue.transact({
-      compare: [{ key, modRevision: ownership.fence }],
+      compare: [{ key, modRevision: ownership.recordRevision }],
       writes: [
         {
           kind: 'put',
@@ -231,9 +237,9 @@
     }
     settleAttemptedAt.delete(engine);
     if (owned.get(engine) === ownership) {
-      const fence = response.value.revision;
-      owned.set(engine, { ...ownership, fence });
-      writtenRecords.set(engine, { revision: fence, sendAfter: ownership.sendAfter });
+      const { revision } = response.value;
+      owned.set(engine, { ...ownership, recordRevision: revision });
+      writtenRecords.set(engine, { revision, sendAfter: ownership.sendAfter });
     }
   }
 
@@ -296,7 +302,7 @@
       : generation > FIRST_GENERATION;
     interrupted.delete(engine);
     writtenRecords.set(engine, { revision: fence, sendAfter });
-    owned.set(engine, { fence, leaseNumber, sendAfter });
+    owned.set(engine, { fence, recordRevision: fence, leaseNumber, sendAfter });
     host.log('engineTaken', {
       engine,
       fence,
--- a/test/routed/ownerships.test.ts
+++ b/test/routed/ownerships.test.ts
@@ -70,6 +70,20 @@
     expect(fixture.clock.now() - diedAt).to.be.greaterThan(LEASE_MS);
   });
 
+  it('keeps its fencing number when the quiet time of a takeover is recorded as over', async () => {
+    const fixture = createTestVms(2);
+    await fixture.run(4000);
+    const [deadVm] = fixture.getOwners('e1');
+    const successor = [...fixture.vms.keys()].find((vm) => vm !== deadVm)!;
+    fixture.killVm(deadVm);
+    while (fixture.getFence(successor, 'e1') === undefined) {
+      await fixture.run(10);
+    }
+    const fence = fixture.getFence(successor, 'e1')!;
+    await fixture.run(3000);
+    expect(fixture.getFence(successor, 'e1')).to.equal(fence);
+  });
+
   it('is used at once by an owner that restarts after the quiet time of its takeover', async () => {
     const fixture = createTestVms(2);
     await fixture.run(4000);
