ONE, LIMIT: a command that is given up is reset, so that it can't arrive later

Cause: a command without a response is given up after 80 ms by closing its connection. The operating system goes on sending what was written, also after the process has ended, and the order arrives once the link is back. Not covered: a command under way (80 ms) as its process is killed.

--- a/src/upstream/createBoundedConnector.ts
+++ b/src/upstream/createBoundedConnector.ts
@@ -5,6 +5,11 @@
   connectTimeoutMs: number;
   /** Bytes of one response, its heads and framing included. */
   maxResponseBytes: number;
+  /**
+   * Whether a connection that ends with an error, as by a timeout, is reset, so that the operating
+   * system sends nothing again of what was written to it (default: no).
+   */
+  isResetOnError?: boolean;
 }
 
 /**
@@ -15,6 +20,7 @@
 export default function createBoundedConnector({
   connectTimeoutMs,
   maxResponseBytes,
+  isResetOnError = false,
 }: Options): buildConnector.connector {
   const connect = buildConnector({ timeout: connectTimeoutMs });
   return (options, callback) =>
@@ -22,6 +28,9 @@
       const [, socket] = result;
       if (socket) {
         limitResponses(socket, maxResponseBytes);
+        if (isResetOnError) {
+          resetOnError(socket);
+        }
       }
       callback(...result);
     });
@@ -40,3 +49,13 @@
     }
   });
 }
+
+function resetOnError(socket: Socket): void {
+  const { destroy } = socket;
+  Object.assign(socket, {
+    destroy: (error?: Error) => {
+      Object.assign(socket, { destroy });
+      return error ? socket.resetAndDestroy() : socket.destroy();
+    },
+  });
+}
