LOST: an upstream is given up as silent only if it is read and another attempt can take its place

Cause: the timer of an upstream's silence ran on while the VM itself did not read, and ended an attempt before it was known whether a retry was allowed or possible. Change: the timer stands still while the VM has paused the upstream (for the caller, or for the bound on held bytes); an attempt is given up early only if the response can be continued by another one and the retry budget allows it.

--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -446,6 +446,7 @@
   const attempts = createAttempts(
     {
       ...host,
+      isRetryAllowed: retryBudget.isAllowed,
       tryGetBlock: crashGuard.tryGetBlock,
       recordStreamBegin: streamOrigins.recordBegin,
       recordServed: crashGuard.recordServed,
--- a/src/gateway/createAttempts.ts
+++ b/src/gateway/createAttempts.ts
@@ -56,6 +56,8 @@
   getService(name: string): Service | undefined;
   /** Returns the number of VMs that share the connections to an upstream. */
   getVmCount(now: number): number;
+  /** Returns whether the retry budget of a service allows a retry. */
+  isRetryAllowed(now: number, service: string): boolean;
   /** Ends the prefill of a request, which has finished or will not happen. */
   endPrefill(engine: string, id: string): void;
   /** Reports that an engine did not hold an adapter that was announced as resident there. */
@@ -212,6 +214,7 @@
     const outcome = await sendAttempt(
       {
         ...host,
+        isRetryAllowed: (now) => host.isRetryAllowed(now, request.service),
         send: (deadlineMs, handler) => {
           sentAt = host.now();
           return host.connections.send(
--- a/src/gateway/createServiceRetryBudget.ts
+++ b/src/gateway/createServiceRetryBudget.ts
@@ -39,19 +39,23 @@
     updateHalfWindows(now, service).at(-1)!.requests += 1;
   }
 
-  function tryTake(now: number, service: string): boolean {
+  function isAllowed(now: number, service: string): boolean {
     const recent = updateHalfWindows(now, service);
     const requests = recent.reduce((sum, halfWindow) => sum + halfWindow.requests, 0);
     const retries = recent.reduce((sum, halfWindow) => sum + halfWindow.retries, 0);
     const options = getOptions();
     const reserve = options.reserve / Math.max(1, getVmCount(now));
     const allowed = (requests * options.ratio * (2 / 3) + reserve) * USABLE_SHARE;
-    if (retries + 1 > allowed) {
+    return retries + 1 <= allowed;
+  }
+
+  function tryTake(now: number, service: string): boolean {
+    if (!isAllowed(now, service)) {
       return false;
     }
-    recent.at(-1)!.retries += 1;
+    updateHalfWindows(now, service).at(-1)!.retries += 1;
     return true;
   }
 
-  return { recordRequest, tryTake };
+  return { recordRequest, isAllowed, tryTake };
 }
--- a/src/gateway/sendAttempt.ts
+++ b/src/gateway/sendAttempt.ts
@@ -5,6 +5,7 @@
 import type ResponseHead from './ResponseHead';
 import type AttemptOutcome from './AttemptOutcome';
 import createEventSplitter from './createEventSplitter';
+import createSilenceTimer from './createSilenceTimer';
 import type ActiveRequest from './ActiveRequest';
 
 const MIN_SUCCESS_STATUS = 200;
@@ -30,6 +31,8 @@
   decodeHead(status: number, headers: Record<string, string | string[] | undefined>): ResponseHead;
   onHead(now: number, head: ResponseHead): void;
   onFirstByte(now: number, head: ResponseHead): void;
+  /** Returns whether a retry is allowed, so that an upstream may be given up early (default: yes). */
+  isRetryAllowed?(now: number): boolean;
   /** Called for each piece of a stream that arrives. */
   onStreamData?(now: number): void;
   /** Called before the first event of a stream that may be resumed is written to the caller. */
@@ -39,7 +42,7 @@
 /**
  * Sends a request to one upstream and forwards its response: a stream event by event, any other
  * response once it is complete. `silenceMs` limits the time before the first byte and between
- * chunks.
+ * chunks, as long as another attempt can take this one's place.
  */
 export default function sendAttempt(
   host: AttemptHost,
@@ -55,7 +58,6 @@
     let isStreaming = false;
     let isEnded = false;
     let hasBegun = false;
-    let cancelSilence = () => {};
     let heldEntry: ReturnType<ReturnType<typeof createHeldBytes>['add']> | undefined;
 
     const end = (outcome: AttemptOutcome) => {
@@ -64,7 +66,7 @@
       }
       isEnded = true;
       Object.assign(request, { partialEventBytes: splitter?.getRemainder().length ?? 0 });
-      cancelSilence();
+      silence.cancel();
       cancelDeadline();
       heldEntry?.release(host.now());
       Object.assign(request, { abort: () => {}, giveUp: () => {} });
@@ -76,11 +78,22 @@
         end(outcome);
       }
     };
-    const restartSilenceTimer = () => {
-      cancelSilence();
-      cancelSilence = Number.isFinite(silenceMs)
-        ? host.setTimer(silenceMs, () => abortWith({ kind: 'silent' }))
-        : () => {};
+    const silence = createSilenceTimer(host, {
+      silenceMs,
+      canGiveUp: () =>
+        (!request.isHeadWritten || request.route.kind === 'stream') &&
+        (host.isRetryAllowed?.(host.now()) ?? true),
+      onSilent: () => abortWith({ kind: 'silent' }),
+    });
+    const pause = () => {
+      silence.pause();
+      controls?.pause();
+    };
+    const resume = () => {
+      if (!isEnded) {
+        silence.resume();
+      }
+      controls?.resume();
     };
     const writeHead = (responseHead: ResponseHead) => {
       if (!request.isHeadWritten) {
@@ -90,8 +103,8 @@
     };
     const forward = (bytes: Buffer) => {
       if (bytes.length > 0 && !request.response.write(bytes)) {
-        controls?.pause();
-        request.response.onDrain(() => controls?.resume());
+        pause();
+        request.response.onDrain(resume);
       }
     };
     const forwardEvents = (chunk: Buffer) => {
@@ -125,8 +138,8 @@
         heldEntry ??= host.held?.add(host.now(), 'reading', {
           maxBytes: MAX_BUFFERED_BYTES,
           getProgress: () => bodyBytes,
-          pause: () => controls?.pause(),
-          resume: () => controls?.resume(),
+          pause,
+          resume,
           close: (reason) => abortWith({ kind: 'lost', reason: `memory is short: ${reason}` }),
         });
         heldEntry?.setBytes(host.now(), bodyBytes);
@@ -189,7 +202,7 @@
           !isContinuation || (status === CONTINUATION_STATUS && isEventStream(headers));
         isStreaming = request.route.kind === 'stream' && isSuccess(status) && canContinue;
         splitter = isStreaming && isEventStream(headers) ? createEventSplitter() : undefined;
-        restartSilenceTimer();
+        silence.restart();
       },
       onData: (chunk) => {
         if (!head || isEnded) {
@@ -201,7 +214,7 @@
           host.onFirstByte(now, head);
         }
         recordBytes(request, now);
-        restartSilenceTimer();
+        silence.restart();
         if (isStreaming) {
           host.onStreamData?.(now);
         }
@@ -242,7 +255,7 @@
     const cancelDeadline = host.setTimer(Math.max(0, remainingMs), () =>
       abortWith({ kind: 'deadline' }),
     );
-    restartSilenceTimer();
+    silence.restart();
     const controls = host.send(Math.max(1, Math.floor(remainingMs)), handler);
     Object.assign(request, {
       abort: () => abortWith({ kind: request.isCallerGone ? 'callerLeft' : 'stopped' }),
