--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -56,8 +56,8 @@
   /** Returns whether this VM reaches no upstream. */
   isPartitioned(): boolean;
   getUse(now: number, key: string): { inFlight: number; lastUsedAt: number };
-  /** Returns the adapters that requests use on this engine. */
-  getBusyAdapters(now: number): string[];
+  /** Returns the keys of the adapters, and of models without one, that requests use on this engine. */
+  getBusyKeys(now: number): string[];
   getVersion(key: string): number;
   getModels(): BaseModel[];
   /** Returns the slots that this owner may fill, given the engine's run and command count. */
@@ -212,7 +212,9 @@
    */
   function getRoom(): number {
     const keys = new Set(slots.getAll().map(({ key }) => key));
-    const hidden = host.getBusyAdapters(host.now()).filter((key) => !keys.has(key));
+    const hidden = host
+      .getBusyKeys(host.now())
+      .filter((key) => key.includes('/') && !keys.has(key));
     return host.getAdapterSlots(runStartedAt, commandSender.getSequence()) - hidden.length;
   }
 
--- a/src/engines/createOwnedEngines.ts
+++ b/src/engines/createOwnedEngines.ts
@@ -102,7 +102,7 @@
         getRestMs: (now) => host.getRestMs(now, upstream),
         tryGetFence: (now) => host.tryGetFence(now, id),
         getUse: (now, key) => parts.usage.getUse(now, id, key),
-        getBusyAdapters: (now) => parts.usage.getBusyAdapters(now, id).map(([key]) => key),
+        getBusyKeys: (now) => parts.usage.getBusyAdapters(now, id).map(([key]) => key),
         getVersion: host.getVersion,
         getModels: () => getService()?.models ?? [],
         getMaxConcurrentLoads: () => host.getMaxConcurrentLoads(id),
--- a/test/routed/engine.test.ts
+++ b/test/routed/engine.test.ts
@@ -125,6 +125,14 @@
     expect(fake.crashes).to.equal(0);
   });
 
+  it('fills all adapter slots while requests use the model without an adapter', async () => {
+    const { clock, engine, inUse, getState } = createTestEngine();
+    inUse.add('m');
+    ['a1', 'a2', 'a3'].forEach((name) => requestLoad(engine, name));
+    await clock.advance(1500);
+    expect(getResidentKeys(getState())).to.have.length(3);
+  });
+
   it('keeps the slot of an adapter that is still in use after its unload is accepted', async () => {
     const { clock, engine, fake, getState } = createTestEngine();
     ['a1', 'a2', 'a3'].forEach((name) => requestLoad(engine, name));
@@ -384,7 +392,7 @@
         inFlight: inUse.has(key) ? 1 : 0,
         lastUsedAt: inUse.has(key) ? now : -Infinity,
       }),
-      getBusyAdapters: () => [...inUse],
+      getBusyKeys: () => [...inUse],
       getVersion: () => 1,
       getModels: () => [{ name: 'm', sizeMb: 1, loadMs: 300, adapterSizeMb: 1 }],
       getAdapterSlots: () => ADAPTER_SLOTS,
