Idle adapters are unloaded early only for reserved slots, not for adapters that requests seem to use

An adapter that was just unloaded counts as in use until its VM has learned that it is gone; the owner would have unloaded another one for it at once.

--- a/src/engines/chooseEngineAction.ts
+++ b/src/engines/chooseEngineAction.ts
@@ -12,7 +12,10 @@
 interface EngineView {
   slots: readonly AdapterSlot[];
   loadRequests: readonly LoadRequest[];
+  /** Number of slots that may be filled. */
   adapterSlots: number;
+  /** Number of slots beyond which idle adapters are unloaded without a load that needs one. */
+  maxFilledSlots: number;
   /** Number of loads that may be in progress at once. */
   maxConcurrentLoads: number;
   /** Expected time between two adapter slots that become free while all are in use. */
@@ -51,7 +54,7 @@
   if (expired) {
     return { kind: 'drop', request: expired, reason: 'expired' };
   }
-  const excess = view.slots.length > view.adapterSlots ? tryGetVictim(now, view) : undefined;
+  const excess = view.slots.length > view.maxFilledSlots ? tryGetVictim(now, view) : undefined;
   if (excess) {
     return { kind: 'unload', slot: excess };
   }
--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -184,6 +184,7 @@
       slots: slots.getAll(),
       loadRequests: queue.getAll(),
       adapterSlots,
+      maxFilledSlots: getUnreservedSlots(),
       slotIntervalMs: slotWaits.getIntervalMs(now, adapterSlots),
       maxConcurrentLoads: host.getMaxConcurrentLoads(),
       getUse: (key) => host.getUse(now, key),
@@ -215,7 +216,11 @@
     const hidden = host
       .getBusyKeys(host.now())
       .filter((key) => key.includes('/') && !keys.has(key));
-    return host.getAdapterSlots(runStartedAt, commandSender.getSequence()) - hidden.length;
+    return getUnreservedSlots() - hidden.length;
+  }
+
+  function getUnreservedSlots(): number {
+    return host.getAdapterSlots(runStartedAt, commandSender.getSequence());
   }
 
   async function readState(now: number): Promise<number> {
--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -89,6 +89,7 @@
               slots,
               loadRequests: [createLoadRequest('m/new')],
               adapterSlots: slotCount,
+              maxFilledSlots: slotCount,
               getUse: (key) => {
                 const heldAdapter = heldAdapters[Number(key.slice(3))];
                 return {
@@ -120,6 +121,7 @@
           createLoadRequest(`m/new${index}`, { expiresAt, since: index }),
         ),
         adapterSlots: 6,
+        maxFilledSlots: 6,
         getUse: (key: string) =>
           Number(key.slice(3)) < idleSlots
             ? { inFlight: 0, lastUsedAt: 9_990 }
@@ -140,6 +142,7 @@
         slots: [createSlot('m/a1', 'resident')],
         loadRequests: [createLoadRequest('m/a1', { version: 2 })],
         adapterSlots: 4,
+        maxFilledSlots: 4,
         getUse: () => ({ inFlight, lastUsedAt: 0 }),
         getVersion: () => 2,
         maxConcurrentLoads: 4,
@@ -162,6 +165,7 @@
         slots,
         loadRequests: [createLoadRequest('m/new')],
         adapterSlots: 30,
+        maxFilledSlots: 30,
         getUse: () => ({ inFlight: 0, lastUsedAt: 0 }),
         getVersion: () => 0,
         maxConcurrentLoads: 4,
