--- a/src/engines/createEngine.ts
+++ b/src/engines/createEngine.ts
@@ -11,19 +11,15 @@
 import type EngineReport from './EngineReport';
 import type EngineState from './EngineState';
 import getAdapterKey from './getAdapterKey';
-import type AdapterSlot from './AdapterSlot';
 import createAdapterSlots from './createAdapterSlots';
 import createLoadQueue from './createLoadQueue';
 import createLoadRequest from './createLoadRequest';
 import type LoadRequest from './LoadRequest';
+import createSlotCommands from './createSlotCommands';
 import createSlotWaitEstimate from './createSlotWaitEstimate';
 
 /** Duration of a load from the adapter store, as documented by the platform. */
 const LOAD_MS = 250;
-/** Duration of a load of an adapter that the engine held recently, a tenth of `LOAD_MS`. */
-const RELOAD_MS = 25;
-/** Adapter versions that are remembered for the choice of `RELOAD_MS`. */
-const MAX_RECENTLY_HELD = 180;
 /**
  * Reports are some hundred milliseconds old: the effect of a command without a response is visible
  * only after this time.
@@ -34,12 +30,6 @@
 const RETRY_PAUSE_MS = 150;
 /** Interval at which the report of an unreachable engine is requested. */
 const UNREACHABLE_RETRY_MS = 400;
-const CONFIRM_RETRY_MS = 30;
-/**
- * Interval at which an accepted unload is sent again until no request uses the adapter. A stream
- * takes some seconds; it is rare that a request starts on an adapter that has just been unloaded.
- */
-const UNLOAD_RETRY_MS = 300;
 /** A model load moves tens of gigabytes, so that the command is not repeated sooner. */
 const MODEL_LOAD_RETRY_MS = 1000;
 
@@ -107,8 +97,22 @@
   let isStopped = false;
   let cancelTimer = () => {};
   const modelLoadSentAt = new Map<string, number>();
-  const recentlyHeld = new Set<string>();
   const slotWaits = createSlotWaitEstimate();
+  const slotCommands = createSlotCommands(
+    {
+      ...host,
+      announce,
+      onUncertain: () => {
+        isReachabilityUncertain = true;
+      },
+      readAfter: (delayMs) => {
+        isStateCurrent = false;
+        nextReadAt = host.now() + delayMs;
+      },
+    },
+    { slots, queue, commandSender, slotWaits },
+    { loadMs: LOAD_MS, reportLagMs: REPORT_LAG_MS, retryPauseMs: RETRY_PAUSE_MS },
+  );
 
   /** Requests an adapter; a request for the same adapter is merged with the queued one. */
   function requestLoad(request: Parameters<typeof createLoadRequest>[1], requester: string): void {
@@ -191,9 +195,9 @@
       getVersion: host.getVersion,
     });
     return match(action)
-      .with({ kind: 'confirm' }, ({ slot }) => confirmLoad(slot))
-      .with({ kind: 'load' }, (load) => startLoad(now, load.request))
-      .with({ kind: 'unload' }, ({ slot }) => unload(slot))
+      .with({ kind: 'confirm' }, ({ slot }) => slotCommands.confirmLoad(slot))
+      .with({ kind: 'load' }, (load) => slotCommands.startLoad(now, load.request))
+      .with({ kind: 'unload' }, ({ slot }) => slotCommands.unload(slot))
       .with({ kind: 'drop' }, (drop) => {
         if (drop.reason === 'expired') {
           slotWaits.record(now, now - drop.request.since, drop.request.position);
@@ -260,7 +264,6 @@
     slots.applyReport(readAt, value);
     commandSender.setSequence(value.sequence);
     isStateCurrent = true;
-    slots.getAll().forEach(({ key }) => recentlyHeld.add(key));
     host.log('engineRead', {
       engine: upstream.id,
       run: runStartedAt,
@@ -293,119 +296,6 @@
     return nextReadAt - host.now();
   }
 
-  async function startLoad(now: number, request: LoadRequest): Promise<number> {
-    queue.remove(request);
-    slotWaits.record(now, now - request.since, request.position);
-    const slot = slots.addLoad(now, request.key, request.version, commandSender.getSequence());
-    slot.requesters.push(...request.requesters);
-    announce();
-    const result = await commandSender.send('load', {
-      kind: 'load',
-      model: request.model,
-      adapter: request.adapter,
-      version: request.version || undefined,
-    });
-    const respondedAt = host.now();
-    const wasRecentlyHeld = recentlyHeld.has(`${request.key}@${request.version}`);
-    slot.dueAt = respondedAt + (wasRecentlyHeld ? RELOAD_MS : LOAD_MS);
-    return handleResult(
-      result,
-      slot,
-      () => {
-        slot.isHeld = true;
-        if (result === 'held') {
-          slot.state = 'resident';
-          announce(slot.requesters);
-        }
-      },
-      request,
-    );
-  }
-
-  /**
-   * Repeats the command of a load that should be complete. The engine responds with `held` once the
-   * adapter is resident.
-   */
-  async function confirmLoad(slot: AdapterSlot): Promise<number> {
-    const [model, adapter] = slot.key.split('/');
-    slot.sentAtSequence = commandSender.getSequence();
-    const result = await commandSender.send('confirm', {
-      kind: 'load',
-      model,
-      adapter,
-      version: slot.version || undefined,
-    });
-    return handleResult(result, slot, () => {
-      if (result === 'held') {
-        slot.state = 'resident';
-        slot.since = host.now();
-        addRecentlyHeld(slot);
-        announce(slot.requesters);
-      } else {
-        slot.dueAt = host.now() + CONFIRM_RETRY_MS;
-      }
-    });
-  }
-
-  async function unload(slot: AdapterSlot): Promise<number> {
-    const [model, adapter] = slot.key.split('/');
-    slot.state = 'leaving';
-    slot.sentAtSequence = commandSender.getSequence();
-    announce();
-    const result = await commandSender.send('unload', {
-      kind: 'unload',
-      model,
-      adapter,
-      version: undefined,
-    });
-    return handleResult(result, slot, () => {
-      if (result === 'accepted') {
-        // Requests still run on the adapter. Its slot is free once the same command returns `held`.
-        slot.dueAt = host.now() + UNLOAD_RETRY_MS;
-        return;
-      }
-      slots.remove(slot);
-      announce();
-    });
-  }
-
-  /**
-   * Handles the result of a command. Calls `onApplied` if the engine has accepted it; otherwise
-   * schedules a read of the engine's report. Returns the delay until the next action in
-   * milliseconds.
-   */
-  function handleResult(
-    result: Awaited<ReturnType<typeof commandSender.send>>,
-    slot: AdapterSlot,
-    onApplied: () => void,
-    request?: LoadRequest,
-  ): number {
-    if (result === 'accepted' || result === 'held') {
-      onApplied();
-      return 0;
-    }
-    const isUncertain = result === 'noAnswer';
-    if (isUncertain) {
-      Object.assign(slot, { state: 'uncertain' });
-      isReachabilityUncertain = true;
-      if (request) {
-        host.refuse(request, 'failed');
-      }
-    } else if (request) {
-      if (!slot.isHeld) {
-        slots.remove(slot);
-      }
-      if (result === 'refused') {
-        host.refuse(request, 'failed');
-      } else {
-        queue.restore(request);
-      }
-    }
-    isStateCurrent = false;
-    nextReadAt = host.now() + (isUncertain ? REPORT_LAG_MS : RETRY_PAUSE_MS);
-    return nextReadAt - host.now();
-  }
-
   /** Returns whether an engine that does not respond to this VM is at fault for that. */
   function isSilenceMeaningful(): boolean {
     return host.getRestMs(host.now()) === 0 && !host.isPartitioned();
@@ -424,13 +314,6 @@
     }
   }
 
-  function addRecentlyHeld(slot: AdapterSlot): void {
-    recentlyHeld.add(`${slot.key}@${slot.version}`);
-    if (recentlyHeld.size > MAX_RECENTLY_HELD) {
-      recentlyHeld.delete(recentlyHeld.values().next().value as string);
-    }
-  }
-
   function refuseAll(reason: 'failed'): void {
     queue.takeAll().forEach((request) => host.refuse(request, reason));
   }
