Room for loads of other processes is kept only on engines that have restarted since they were first claimed

Found by reading the change: at the start of an installation its engines are young, so that each VM that was killed and came back in the first 30 s of their lives kept half of their slots free for 15 s, and unloaded adapters for it, though no command had been sent to an earlier run. The record of an engine's owner now names the run in which it was first claimed, and room is kept for other runs only; differences of clocks are taken for 5 s and not 15.

--- a/src/engines/OwnershipRecord.ts
+++ b/src/engines/OwnershipRecord.ts
@@ -4,6 +4,8 @@
   incarnation: string;
   generation: number;
   isTakeover: boolean;
+  /** Start time of the engine's run in which it was first claimed; undefined if that is not known. */
+  firstRun: number | undefined;
   revision: number;
 }
 
--- a/src/engines/createOwnedEngines.ts
+++ b/src/engines/createOwnedEngines.ts
@@ -52,12 +52,15 @@
   const unansweredLoads = new Map<string, ReturnType<typeof createUnansweredLoads>>();
   let stateSequence = 0;
 
-  /** Starts to manage an engine that other processes may have sent commands to until now. */
-  function take(id: string): void {
+  /**
+   * Starts to manage an engine that other processes may have sent commands to until now, at the
+   * earliest in `firstRun`.
+   */
+  function take(id: string, firstRun: number | undefined): void {
     removeExpiredLoads(host.now());
     const unanswered = unansweredLoads.get(id) ?? createUnansweredLoads();
     unansweredLoads.set(id, unanswered);
-    unanswered.recordOthers(host.now(), host.getTimeOfDay());
+    unanswered.recordOthers(host.now(), host.getTimeOfDay(), firstRun);
     open(id, USE_REPORT_MS);
   }
 
--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -7,6 +7,7 @@
 import type Clock from '../shared/Clock';
 import createClockJumpDetector from './createClockJumpDetector';
 import type OwnershipRecord from './OwnershipRecord';
+import getSuccessors from './getSuccessors';
 import readOwnershipRecord from './readOwnershipRecord';
 
 const OWNER_PREFIX = '/baobablink/engines/';
@@ -47,10 +48,12 @@
   /** Returns whether another VM reaches no upstream. */
   isPeerPartitioned(now: number, vm: string): boolean;
   /**
-   * Called once this VM is recorded as the owner of an engine. `hadOthers`: another process may have
-   * sent commands to the engine before.
+   * Called once this VM is recorded as the owner of an engine. `former` is stated if another process
+   * may have sent commands to the engine, `firstRun` being the run in which it was first claimed.
    */
-  onAcquired(engine: string, fence: number, hadOthers: boolean): void;
+  onAcquired(engine: string, fence: number, former?: { firstRun: number | undefined }): void;
+  /** Returns the start time of an engine's present run, as far as this VM knows. */
+  tryGetRun(engine: string): number | undefined;
   onLost(engine: string): void;
   log: Log;
 }
@@ -123,7 +126,10 @@
     [...owned.keys()].filter((engine) => isSettleDue(now, engine)).forEach(settle);
     let successors: string[] | undefined;
     const getSuccessors = () => {
-      successors ??= computeSuccessors(now, engines);
+      successors ??= getSuccessors(
+        getCandidates(now),
+        engines.map((engine) => tryGetRecord(engine)?.holder),
+      );
       return successors;
     };
     engines
@@ -154,19 +160,6 @@
     return !isHolderRegistered && rankByRendezvous(engine, getSuccessors())[0] === options.address;
   }
 
-  /** Returns the VMs that may claim engines without an owner: those that own the fewest engines. */
-  function computeSuccessors(now: number, engines: readonly string[]): string[] {
-    const ownedCounts = new Map<string | undefined, number>();
-    engines.forEach((engine) => {
-      const holder = tryGetRecord(engine)?.holder;
-      ownedCounts.set(holder, (ownedCounts.get(holder) ?? 0) + 1);
-    });
-    const registeredVms = getCandidates(now);
-    const getOwnedCount = (vm: string) => ownedCounts.get(vm) ?? 0;
-    const fewestOwned = Math.min(...registeredVms.map(getOwnedCount));
-    return registeredVms.filter((vm) => getOwnedCount(vm) === fewestOwned);
-  }
-
   /** Returns the registered VMs that can reach engines. */
   function getCandidates(now: number): string[] {
     return host.mirror
@@ -184,7 +177,8 @@
     const { recordRevision } = owned.get(engine)!;
     endOwnership(engine, 'no upstream in reach');
     const generation = host.mirror.getGeneration();
-    const record = { holder: NO_HOLDER, incarnation: '', generation };
+    const firstRun = tryGetRecord(engine)?.firstRun;
+    const record = { holder: NO_HOLDER, incarnation: '', generation, firstRun };
     const key = `${OWNER_PREFIX}${engine}`;
     const response = await host.keyValue.transact({
       compare: [{ key, modRevision: recordRevision }],
@@ -219,13 +213,14 @@
     const { address: holder, incarnation } = options;
     const generation = host.mirror.getGeneration();
     const key = `${OWNER_PREFIX}${engine}`;
+    const firstRun = tryGetRecord(engine)?.firstRun;
     const response = await host.keyValue.transact({
       compare: [{ key, modRevision: ownership.recordRevision }],
       writes: [
         {
           kind: 'put',
           key,
-          value: JSON.stringify({ holder, incarnation, generation, isTakeover: false }),
+          value: JSON.stringify({ holder, incarnation, generation, isTakeover: false, firstRun }),
         },
       ],
       readOnFailure: [],
@@ -258,6 +253,8 @@
       record?.holder === address && record.incarnation !== incarnation && record.isTakeover;
     const leaseNumber = host.members.getLeaseNumber();
     const generation = host.mirror.getGeneration();
+    const isFirstClaim = record === undefined && generation === FIRST_GENERATION;
+    const firstRun = isFirstClaim ? host.tryGetRun(engine) : record?.firstRun;
     const isTakeover =
       isOwnedByOther ||
       isFromUnansweredClaim ||
@@ -273,7 +270,7 @@
         {
           kind: 'put',
           key,
-          value: JSON.stringify({ holder: address, incarnation, generation, isTakeover }),
+          value: JSON.stringify({ holder: address, incarnation, generation, isTakeover, firstRun }),
         },
       ],
       readOnFailure: [],
@@ -297,9 +294,7 @@
       isFormerTakeover,
     });
     const isOwnRecord = record?.holder === address && record.incarnation === incarnation;
-    const hadOthers = record
-      ? !isOwnRecord || isFromUnansweredClaim
-      : generation > FIRST_GENERATION;
+    const hadOthers = !isFirstClaim && (!isOwnRecord || isFromUnansweredClaim);
     interrupted.delete(engine);
     writtenRecords.set(engine, { revision: fence, sendAfter });
     owned.set(engine, { fence, recordRevision: fence, leaseNumber, sendAfter });
@@ -309,7 +304,7 @@
       from: record?.holder,
       quietMs: Math.round(sendAfter - now),
     });
-    host.onAcquired(engine, fence, hadOthers);
+    host.onAcquired(engine, fence, hadOthers ? { firstRun } : undefined);
   }
 
   /** Returns the time from which this VM may send commands under a claim that was confirmed. */
--- a/src/engines/createUnansweredLoads.ts
+++ b/src/engines/createUnansweredLoads.ts
@@ -1,7 +1,7 @@
 /** The engines' specification lets a command without a response be executed some seconds later. */
 const LATE_COMMAND_MS = 15_000;
 /** Greatest difference between the time of day of an engine and that of a VM. */
-const CLOCK_TOLERANCE_MS = 15_000;
+const CLOCK_TOLERANCE_MS = 5000;
 /** Share of an engine's adapter slots that is kept free for loads whose number is not known. */
 const UNKNOWN_LOADS_SHARE = 0.5;
 const MAX_LOADS = 256;
@@ -21,11 +21,11 @@
 export default function createUnansweredLoads() {
   let loads: UnansweredLoad[] = [];
   /** When the last load of another process was sent at the latest, by both clocks. */
-  let othersUntil: { now: number; timeOfDay: number } | undefined;
+  let othersUntil: { now: number; timeOfDay: number; firstRun: number | undefined } | undefined;
 
-  /** Records that other processes may have sent loads until now. */
-  function recordOthers(now: number, timeOfDay: number): void {
-    othersUntil = { now, timeOfDay };
+  /** Records that other processes may have sent loads until now, to the run `firstRun` or later ones. */
+  function recordOthers(now: number, timeOfDay: number, firstRun: number | undefined): void {
+    othersUntil = { now, timeOfDay, firstRun };
   }
 
   /** Records a load that is being sent. Returns a function to call once it is answered. */
@@ -66,6 +66,7 @@
   function mayHoldUnknown(now: number, startedAt: number): boolean {
     return (
       othersUntil !== undefined &&
+      startedAt !== othersUntil.firstRun &&
       now - othersUntil.now < LATE_COMMAND_MS &&
       startedAt > othersUntil.timeOfDay - LATE_COMMAND_MS - CLOCK_TOLERANCE_MS
     );
--- a/src/engines/readOwnershipRecord.ts
+++ b/src/engines/readOwnershipRecord.ts
@@ -7,11 +7,13 @@
     incarnation,
     generation = 0,
     isTakeover = false,
+    firstRun,
   } = JSON.parse(value) as {
     holder: string;
     incarnation: string;
     generation?: number;
     isTakeover?: boolean;
+    firstRun?: number;
   };
-  return { holder, incarnation, generation, isTakeover, revision };
+  return { holder, incarnation, generation, isTakeover, firstRun, revision };
 }
--- a/src/entry/createRoutedEntry.ts
+++ b/src/entry/createRoutedEntry.ts
@@ -289,10 +289,11 @@
       members,
       getPartitionedMs: (now) => reach.getPartitionedMs(now),
       isPeerPartitioned: (now, vm) => reach.isPeerPartitioned(now, vm),
-      onAcquired: (engine, fence, hadOthers) => {
+      tryGetRun: (engine) => upstreams.tryGet(engine)?.startedAt,
+      onAcquired: (engine, fence, former) => {
         broadcaster.broadcast({ kind: 'engineClaimed', engine, fence, owner: address });
-        if (hadOthers) {
-          engines.take(engine);
+        if (former) {
+          engines.take(engine, former.firstRun);
         } else {
           engines.open(engine);
         }
--- a/test/routed/lateLoads.test.ts
+++ b/test/routed/lateLoads.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import createUnansweredLoads from '../../src/engines/createUnansweredLoads';
 import createOwnedEngines from '../../src/engines/createOwnedEngines';
 import type EngineCommand from '../../src/engines/EngineCommand';
 import type Upstream from '../../src/upstream/Upstream';
@@ -13,6 +14,22 @@
   models: [{ name: 'm', sizeMb: 1, loadMs: 300, adapterSizeMb: 1 }],
 };
 
+describe('createUnansweredLoads', () => {
+  it('keeps room for loads of other processes only on engines that have restarted lately', () => {
+    const loads = createUnansweredLoads();
+    const run = { startedAt: 5000, sequence: 0, slots: 11 };
+    expect(loads.getReserve(0, run)).to.equal(0);
+    loads.recordOthers(0, 10_000, run.startedAt);
+    expect(loads.getReserve(0, run)).to.equal(0);
+    loads.recordOthers(0, 10_000, run.startedAt - 1);
+    expect(loads.getReserve(0, run)).to.equal(6);
+    expect(loads.getReserve(0, { ...run, startedAt: 20_000 })).to.equal(6);
+    expect(loads.getReserve(20_000, run)).to.equal(0);
+    loads.recordOthers(20_000, 60_000, run.startedAt - 1);
+    expect(loads.getReserve(20_000, run)).to.equal(0);
+  });
+});
+
 describe('createOwnedEngines', () => {
   it('keeps room on a restarted engine for a load sent before the restart and executed late', async () => {
     const { clock, fake, engines, restart, load } = createTestEngines();
