--- a/src/engines/getSuccessors.ts
+++ b/src/engines/chooseSuccessors.ts
@@ -2,7 +2,7 @@
  * Returns the VMs that may claim engines without an owner: those that own the fewest engines.
  * `holders` are the owners of all engines.
  */
-export default function getSuccessors(
+export default function chooseSuccessors(
   vms: readonly string[],
   holders: readonly (string | undefined)[],
 ): string[] {
--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -5,9 +5,10 @@
 import type Mirror from '../mirror/Mirror';
 import rankByRendezvous from '../shared/rankByRendezvous';
 import type Clock from '../shared/Clock';
+import chooseSuccessors from './chooseSuccessors';
 import createClockJumpDetector from './createClockJumpDetector';
+import type EngineOwnership from './EngineOwnership';
 import type OwnershipRecord from './OwnershipRecord';
-import getSuccessors from './getSuccessors';
 import readOwnershipRecord from './readOwnershipRecord';
 
 const OWNER_PREFIX = '/baobablink/engines/';
@@ -58,20 +59,6 @@
   log: Log;
 }
 
-interface Ownership {
-  /**
-   * Revision at which the engine was claimed. It does not change while the ownership lasts: a command
-   * that is delayed must not arrive after one with a higher number.
-   */
-  fence: number;
-  /** Revision of the record, which is written again after the quiet time of a takeover. */
-  recordRevision: number;
-  /** Lease of this VM's registration under which the ownership was recorded. */
-  leaseNumber: number;
-  /** No command is sent before this time: the former owner's last ones may still arrive. */
-  sendAfter: number;
-}
-
 /**
  * Claims engines for this VM and tracks which ones it owns; only the owner of an engine sends
  * commands to it. A record names the owner of each engine. It changes only by a compare-and-swap
@@ -82,11 +69,11 @@
   host: OwnershipsHost,
   options: { address: string; incarnation: string; leaseMs: number },
 ) {
-  const owned = new Map<string, Ownership>();
+  const owned = new Map<string, EngineOwnership>();
   const claimAttemptedAt = new Map<string, number>();
   const settleAttemptedAt = new Map<string, number>();
   /** Ownerships that ended as the key-value service came back from an older copy. */
-  const interrupted = new Map<string, Ownership>();
+  const interrupted = new Map<string, EngineOwnership>();
   /** Records whose write was confirmed to this VM, and the time from which it may send commands. */
   const writtenRecords = new Map<string, { revision: number; sendAfter: number }>();
   /** Records that have been read, by engine. */
@@ -126,7 +113,7 @@
     [...owned.keys()].filter((engine) => isSettleDue(now, engine)).forEach(settle);
     let successors: string[] | undefined;
     const getSuccessors = () => {
-      successors ??= getSuccessors(
+      successors ??= chooseSuccessors(
         getCandidates(now),
         engines.map((engine) => tryGetRecord(engine)?.holder),
       );
