--- a/src/engines/createOwnerships.ts
+++ b/src/engines/createOwnerships.ts
@@ -240,7 +240,7 @@
       record?.holder === address && record.incarnation !== incarnation && record.isTakeover;
     const leaseNumber = host.members.getLeaseNumber();
     const generation = host.mirror.getGeneration();
-    const isFirstClaim = record === undefined && generation === FIRST_GENERATION;
+    const isFirstClaim = record === undefined && generation <= FIRST_GENERATION;
     const firstRun = isFirstClaim ? host.tryGetRun(engine) : record?.firstRun;
     const isTakeover =
       isOwnedByOther ||
